--- /dev/null
+++ b/cmd/jujubectl/main.go
@@ -0,0 +1,4 @@
+// Command jujubectl is the operators' command-line client.
+package main
+
+func main() {}
