--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,43 @@
+// Package events holds the numbered log events of the daemon. The catalogue in
+// docs/events.md is made from it, and a test holds the two together.
+package events
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	// Number identifies the event in logs, dashboards and the catalogue. It is
+	// never used again for another event.
+	Number int
+	// Text is the log message.
+	Text  string
+	Level zerolog.Level
+	// Meaning and Action tell an operator what has happened and what to do.
+	Meaning string
+	Action  string
+}
+
+// Logger writes events as one JSON object a line.
+type Logger struct {
+	z zerolog.Logger
+}
+
+// New returns a logger for events at least as severe as level.
+func New(w io.Writer, level zerolog.Level, instance string) Logger {
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
+	return Logger{z: zerolog.New(w).Level(level).With().Timestamp().Str("instance", instance).Logger()}
+}
+
+// Nop returns a logger that writes nothing.
+func Nop() Logger {
+	return Logger{z: zerolog.Nop()}
+}
+
+// Log starts a line for the event. The caller adds fields and calls Send.
+func (l Logger) Log(e Event) *zerolog.Event {
+	return l.z.WithLevel(e.Level).Int("event", e.Number).Str("message", e.Text)
+}
--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,123 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+const (
+	// listTimeout bounds one reading of the list.
+	listTimeout = 2 * time.Second
+	// maxListBytes bounds the list: 4,900 entry instances and several
+	// thousand endpoints of about 200 bytes each.
+	maxListBytes = 8 << 20
+)
+
+// PathInstances is where the platform serves its list.
+const PathInstances = "/v1/instances"
+
+// StateLeaving is the state of an instance or endpoint that is about to stop.
+const StateLeaving = "leaving"
+
+// EndpointRecord is an endpoint in the JSON form of the list.
+type EndpointRecord struct {
+	ID      model.EndpointID `json:"id"`
+	Service model.Service    `json:"service"`
+	Region  model.Region     `json:"region"`
+	Domain  model.Domain     `json:"domain"`
+	Addr    netip.AddrPort   `json:"addr"`
+	Slots   int              `json:"slots"`
+	State   string           `json:"state"`
+}
+
+// EntryRecord is an entry instance in the JSON form of the list.
+type EntryRecord struct {
+	ID          model.InstanceID `json:"id"`
+	Region      model.Region     `json:"region"`
+	Domain      model.Domain     `json:"domain"`
+	EntryAddr   netip.AddrPort   `json:"entry_addr"`
+	PeerAddr    netip.AddrPort   `json:"peer_addr"`
+	ControlAddr netip.AddrPort   `json:"control_addr"`
+	State       string           `json:"state"`
+}
+
+// Document is the JSON form of the list.
+type Document struct {
+	Endpoints []EndpointRecord `json:"endpoints"`
+	Entries   []EntryRecord    `json:"entries"`
+}
+
+// Client reads the list over HTTP. It implements Source.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+var _ Source = (*Client)(nil)
+
+// NewClient returns a client of the list at base, for example
+// "http://10.0.0.6:8500".
+func NewClient(base string) *Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}
+	return &Client{url: base + PathInstances, http: &http.Client{Transport: t}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// List implements Source. It fails on a list that is cut short or malformed,
+// so that a bad reading never looks like a fleet that has gone.
+func (c *Client) List(ctx context.Context) (Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return Listing{}, errors.Trace(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Listing{}, errors.Annotate(err, "reading the platform's list")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Listing{}, errors.Errorf("platform's list: status %d", resp.StatusCode)
+	}
+	var d Document
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&d); err != nil {
+		return Listing{}, errors.Annotate(err, "decoding the platform's list")
+	}
+	return d.listing()
+}
+
+func (d Document) listing() (Listing, error) {
+	var l Listing
+	for _, e := range d.Endpoints {
+		if e.ID == "" || !e.Addr.IsValid() || e.Slots < 1 {
+			return Listing{}, errors.NotValidf("endpoint %q in the platform's list", e.ID)
+		}
+		l.Endpoints = append(l.Endpoints, model.Endpoint{
+			ID: e.ID, Service: e.Service, Region: e.Region, Domain: e.Domain,
+			Addr: e.Addr, Slots: e.Slots, Leaving: e.State == StateLeaving,
+		})
+	}
+	for _, e := range d.Entries {
+		if e.ID == "" || !e.PeerAddr.IsValid() || !e.EntryAddr.IsValid() {
+			return Listing{}, errors.NotValidf("entry instance %q in the platform's list", e.ID)
+		}
+		l.Entries = append(l.Entries, model.EntryInstance{
+			ID: e.ID, Region: e.Region, Domain: e.Domain, EntryAddr: e.EntryAddr,
+			PeerAddr: e.PeerAddr, ControlAddr: e.ControlAddr, Leaving: e.State == StateLeaving,
+		})
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/standin/kv.go
@@ -0,0 +1,328 @@
+// Package standin holds small stand-ins of the platform: its key-value store,
+// its instance list and its endpoints. Tests and the demo use them; the
+// daemon never does outside the demo.
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"jujubestile.example/jujubestile/internal/store"
+)
+
+// Rates of the platform's store, in calls a second.
+const (
+	StoreReadsPerSecond  = 2000
+	StoreWritesPerSecond = 400
+)
+
+// KV is an in-memory stand-in of the platform's store with faults. It
+// implements store.Store.
+type KV struct {
+	reads  *rate.Limiter
+	writes *rate.Limiter
+
+	mu      sync.Mutex
+	rev     store.Revision
+	keys    map[string]entry
+	leases  map[store.LeaseID]lease
+	nextID  store.LeaseID
+	changed chan struct{}
+	faults  Faults
+	stats   Stats
+}
+
+type entry struct {
+	value []byte
+	rev   store.Revision
+	lease store.LeaseID
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Faults are the failures that a KV shows. The zero value shows none.
+type Faults struct {
+	// Down fails each call without effect.
+	Down bool
+	// Delay is added to each call.
+	Delay time.Duration
+	// LoseAnswers is how many writes from now on take effect but answer
+	// ErrUnavailable.
+	LoseAnswers int
+	// Unlimited lifts the limits on calls a second.
+	Unlimited bool
+}
+
+// Stats counts the calls that a KV has served or refused.
+type Stats struct {
+	Reads, Writes, Watches, Refused int
+	// WaitingWatches is how many watches wait now.
+	WaitingWatches int
+}
+
+// NewKV returns an empty store.
+func NewKV() *KV {
+	return &KV{
+		reads:   rate.NewLimiter(StoreReadsPerSecond, StoreReadsPerSecond),
+		writes:  rate.NewLimiter(StoreWritesPerSecond, StoreWritesPerSecond),
+		keys:    make(map[string]entry),
+		leases:  make(map[store.LeaseID]lease),
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the failures shown from now on. It wakes waiting watches,
+// so that they notice an outage.
+func (k *KV) SetFaults(f Faults) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.faults = f
+	k.wake()
+}
+
+// Stats returns the counters.
+func (k *KV) Stats() Stats {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stats
+}
+
+// Snapshot returns a copy of all keys without leases, for Restore.
+func (k *KV) Snapshot() map[string][]byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make(map[string][]byte, len(k.keys))
+	for key, e := range k.keys {
+		out[key] = slices.Clone(e.value)
+	}
+	return out
+}
+
+// Restore replaces all keys, as restoring a backup does.
+func (k *KV) Restore(snapshot map[string][]byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keys = make(map[string]entry, len(snapshot))
+	for key, v := range snapshot {
+		k.rev++
+		k.keys[key] = entry{value: slices.Clone(v), rev: k.rev}
+	}
+	k.wake()
+}
+
+// Get implements store.Store.
+func (k *KV) Get(ctx context.Context, key string) (store.KeyValue, error) {
+	if err := k.enter(ctx, k.reads); err != nil {
+		return store.KeyValue{}, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stats.Reads++
+	kv := k.lookup(key)
+	if kv.Revision == store.Absent {
+		return kv, store.ErrNotFound
+	}
+	return kv, nil
+}
+
+// List implements store.Store.
+func (k *KV) List(ctx context.Context, prefix string) ([]store.KeyValue, error) {
+	if err := k.enter(ctx, k.reads); err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stats.Reads++
+	k.expire()
+	var out []store.KeyValue
+	for key := range k.keys {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, k.lookup(key))
+		}
+	}
+	slices.SortFunc(out, func(a, b store.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	return out, nil
+}
+
+// CompareAndSwap implements store.Store.
+func (k *KV) CompareAndSwap(ctx context.Context, key string, expected store.Revision, value []byte, id store.LeaseID) (store.SwapResult, error) {
+	if len(value) > store.MaxValueBytes {
+		return store.SwapResult{}, store.ErrTooLarge
+	}
+	if err := k.enter(ctx, k.writes); err != nil {
+		return store.SwapResult{}, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stats.Writes++
+	k.expire()
+	if _, ok := k.leases[id]; id != 0 && !ok {
+		return store.SwapResult{}, store.ErrLeaseExpired
+	}
+	swapped := k.lookup(key).Revision == expected
+	if swapped {
+		k.put(key, value, id)
+	}
+	if k.faults.LoseAnswers > 0 {
+		k.faults.LoseAnswers--
+		return store.SwapResult{}, store.ErrUnavailable
+	}
+	return store.SwapResult{Swapped: swapped, Current: k.lookup(key)}, nil
+}
+
+// Grant implements store.Store.
+func (k *KV) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := k.enter(ctx, k.writes); err != nil {
+		return 0, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stats.Writes++
+	k.nextID++
+	k.leases[k.nextID] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	return k.nextID, nil
+}
+
+// KeepAlive implements store.Store.
+func (k *KV) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	if err := k.enter(ctx, k.writes); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stats.Writes++
+	k.expire()
+	l, ok := k.leases[id]
+	if !ok {
+		return store.ErrLeaseExpired
+	}
+	l.expires = time.Now().Add(l.ttl)
+	k.leases[id] = l
+	return nil
+}
+
+// Revoke implements store.Store.
+func (k *KV) Revoke(ctx context.Context, id store.LeaseID) error {
+	if err := k.enter(ctx, k.writes); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stats.Writes++
+	k.endLease(id)
+	return nil
+}
+
+// Watch implements store.Store.
+func (k *KV) Watch(ctx context.Context, key string, after store.Revision) (store.KeyValue, error) {
+	if err := k.enter(ctx, k.reads); err != nil {
+		return store.KeyValue{}, err
+	}
+	k.countWatch(1)
+	defer k.countWatch(-1)
+	for {
+		kv, changed, err := k.peek(key)
+		if err != nil {
+			return store.KeyValue{}, err
+		}
+		if kv.Revision > after {
+			return kv, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return store.KeyValue{}, ctx.Err()
+		}
+	}
+}
+
+func (k *KV) peek(key string) (store.KeyValue, <-chan struct{}, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.faults.Down {
+		return store.KeyValue{}, nil, store.ErrUnavailable
+	}
+	k.expire()
+	return k.lookup(key), k.changed, nil
+}
+
+func (k *KV) countWatch(d int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stats.WaitingWatches += d
+	if d > 0 {
+		k.stats.Watches++
+	}
+}
+
+// enter applies the delay, an outage and the limit on calls a second.
+func (k *KV) enter(ctx context.Context, limit *rate.Limiter) error {
+	k.mu.Lock()
+	f := k.faults
+	k.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if f.Down || !f.Unlimited && !limit.Allow() {
+		k.mu.Lock()
+		k.stats.Refused++
+		k.mu.Unlock()
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+// The methods below are called with mu held.
+
+func (k *KV) lookup(key string) store.KeyValue {
+	e, ok := k.keys[key]
+	if !ok {
+		return store.KeyValue{Key: key}
+	}
+	return store.KeyValue{Key: key, Value: slices.Clone(e.value), Revision: e.rev}
+}
+
+func (k *KV) put(key string, value []byte, id store.LeaseID) {
+	k.rev++
+	if value == nil {
+		delete(k.keys, key)
+	} else {
+		k.keys[key] = entry{value: slices.Clone(value), rev: k.rev, lease: id}
+	}
+	k.wake()
+}
+
+func (k *KV) wake() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+func (k *KV) expire() {
+	now := time.Now()
+	for id, l := range k.leases {
+		if now.After(l.expires) {
+			k.endLease(id)
+		}
+	}
+}
+
+func (k *KV) endLease(id store.LeaseID) {
+	delete(k.leases, id)
+	for key, e := range k.keys {
+		if e.lease == id {
+			k.put(key, nil, 0)
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/etcd/etcd_test.go
@@ -0,0 +1,145 @@
+package etcd_test
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"jujubestile.example/jujubestile/internal/standin"
+	"jujubestile.example/jujubestile/internal/store"
+	"jujubestile.example/jujubestile/internal/store/etcd"
+)
+
+func newStore(t *testing.T) (*standin.KV, *etcd.Client) {
+	kv := standin.NewKV()
+	srv := httptest.NewServer(kv.Handler())
+	c := etcd.New(srv.URL)
+	t.Cleanup(func() { c.Close(); srv.CloseClientConnections(); srv.Close() })
+	return kv, c
+}
+
+// Guards against a client that takes a failed swap for a successful one, or
+// does not see the winner's value.
+func TestCompareAndSwap(t *testing.T) {
+	Convey("Given an empty store", t, func() {
+		_, c := newStore(t)
+		ctx := context.Background()
+		first, err := c.CompareAndSwap(ctx, "k", store.Absent, []byte("a"), 0)
+		So(err, ShouldBeNil)
+		So(first.Swapped, ShouldBeTrue)
+
+		Convey("a second write that expects no key fails and shows the winner", func() {
+			second, err := c.CompareAndSwap(ctx, "k", store.Absent, []byte("b"), 0)
+			So(err, ShouldBeNil)
+			So(second.Swapped, ShouldBeFalse)
+			So(string(second.Current.Value), ShouldEqual, "a")
+		})
+		Convey("a delete with the right revision removes the key", func() {
+			res, err := c.CompareAndSwap(ctx, "k", first.Current.Revision, nil, 0)
+			So(err, ShouldBeNil)
+			So(res.Swapped, ShouldBeTrue)
+			_, err = c.Get(ctx, "k")
+			So(errors.Is(err, store.ErrNotFound), ShouldBeTrue)
+		})
+		Convey("a listing is sorted and bounded by its prefix", func() {
+			for _, k := range []string{"p/b", "p/a", "q"} {
+				_, err := c.CompareAndSwap(ctx, k, store.Absent, []byte(k), 0)
+				So(err, ShouldBeNil)
+			}
+			kvs, err := c.List(ctx, "p/")
+			So(err, ShouldBeNil)
+			So(len(kvs), ShouldEqual, 2)
+			So(kvs[0].Key, ShouldEqual, "p/a")
+		})
+	})
+}
+
+// Guards against treating a lost answer as a failed write: the value is there
+// although the call failed.
+func TestLostAnswer(t *testing.T) {
+	kv, c := newStore(t)
+	kv.SetFaults(standin.Faults{LoseAnswers: 1})
+	_, err := c.CompareAndSwap(context.Background(), "k", store.Absent, []byte("a"), 0)
+	if !errors.Is(err, store.ErrUnavailable) {
+		t.Fatalf("lost answer: got %v, want ErrUnavailable", err)
+	}
+	got, err := c.Get(context.Background(), "k")
+	if err != nil || string(got.Value) != "a" {
+		t.Fatalf("read back: %q, %v", got.Value, err)
+	}
+}
+
+// Guards against a watch that misses a change between the read and the wait,
+// or that never returns in an outage.
+func TestWatch(t *testing.T) {
+	kv, c := newStore(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	res, err := c.CompareAndSwap(ctx, "k", store.Absent, []byte("a"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for kv.Stats().WaitingWatches == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		_, _ = kv.CompareAndSwap(ctx, "k", res.Current.Revision, []byte("b"), 0)
+	}()
+	got, err := c.Watch(ctx, "k", res.Current.Revision)
+	if err != nil || string(got.Value) != "b" {
+		t.Fatalf("watch: %q, %v", got.Value, err)
+	}
+	go func() {
+		for kv.Stats().WaitingWatches == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		kv.SetFaults(standin.Faults{Down: true})
+	}()
+	if _, err := c.Watch(ctx, "k", got.Revision); !errors.Is(err, store.ErrUnavailable) {
+		t.Fatalf("watch in an outage: %v, want ErrUnavailable", err)
+	}
+}
+
+// Guards against keys that outlive their lease, and against a holder that does
+// not learn that its lease has ended.
+func TestLease(t *testing.T) {
+	_, c := newStore(t)
+	ctx := context.Background()
+	id, err := c.Grant(ctx, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.CompareAndSwap(ctx, "k", store.Absent, []byte("a"), id); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.KeepAlive(ctx, id); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Revoke(ctx, id); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.KeepAlive(ctx, id); !errors.Is(err, store.ErrLeaseExpired) {
+		t.Fatalf("keep-alive after revoke: %v", err)
+	}
+	if _, err := c.Get(ctx, "k"); !errors.Is(err, store.ErrNotFound) {
+		t.Fatalf("key after its lease: %v", err)
+	}
+}
+
+// Guards against values that the store refuses for their size.
+func TestLargeValues(t *testing.T) {
+	_, c := newStore(t)
+	ctx := context.Background()
+	v := bytes.Repeat([]byte{'x'}, store.MaxValueBytes)
+	if _, err := c.CompareAndSwap(ctx, "k", store.Absent, v, 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.CompareAndSwap(ctx, "l", store.Absent, append(v, 'x'), 0); !errors.Is(err, store.ErrTooLarge) {
+		t.Fatalf("oversized value: %v", err)
+	}
+}
