Serve the shortest whole path as separate processes

A caller looks up the entry instances at one process and sends a request through another to an endpoint, with the store and the instance list beside them.

--- a/cmd/jujubestiled/main.go
+++ b/cmd/jujubestiled/main.go
@@ -1,4 +1,21 @@
 // Command jujubestiled is the daemon of an entry instance.
+//
+//	jujubestiled run -config FILE     runs the instance until SIGTERM
+//	jujubestiled check -config FILE   checks the settings and exits
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&checkCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/jujubestiled/run.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+
+	"jujubestile.example/jujubestile/internal/daemon"
+	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/settings"
+)
+
+// configFlag is the -config flag that run and check share.
+type configFlag struct {
+	file string
+}
+
+// SetFlags implements subcommands.Command.
+func (c *configFlag) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "config", "", "settings file (JSON with comments)")
+}
+
+// load reads the settings and prints what is wrong with them.
+func (c *configFlag) load() (settings.Settings, subcommands.ExitStatus) {
+	if c.file == "" {
+		fmt.Fprintln(os.Stderr, "missing -config FILE; jujubestiled.example.json shows every setting")
+		return settings.Settings{}, subcommands.ExitUsageError
+	}
+	s, err := settings.Load(c.file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return settings.Settings{}, subcommands.ExitFailure
+	}
+	return s, subcommands.ExitSuccess
+}
+
+type runCommand struct{ configFlag }
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "run the instance until SIGTERM or SIGINT" }
+func (*runCommand) Usage() string    { return "run -config FILE\n" }
+
+// Execute implements subcommands.Command.
+func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, status := c.load()
+	if status != subcommands.ExitSuccess {
+		return status
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	level, _ := zerolog.ParseLevel(s.Log.Level)
+	log := events.New(os.Stderr, level, string(s.Instance))
+	if err := daemon.New(s, log).Run(ctx); err != nil {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+type checkCommand struct{ configFlag }
+
+func (*checkCommand) Name() string     { return "check" }
+func (*checkCommand) Synopsis() string { return "check a settings file" }
+func (*checkCommand) Usage() string    { return "check -config FILE\n" }
+
+// Execute implements subcommands.Command.
+func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	_, status := c.load()
+	if status == subcommands.ExitSuccess {
+		fmt.Println("settings are valid")
+	}
+	return status
+}
--- /dev/null
+++ b/internal/proctest/fleet_test.go
@@ -0,0 +1,174 @@
+package proctest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/platform"
+	"jujubestile.example/jujubestile/internal/standin"
+)
+
+// binary is the daemon, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "proctest")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "jujubestiled")
+	build := exec.Command("go", "build", "-o", binary, "jujubestile.example/jujubestile/cmd/jujubestiled")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("building the daemon: %v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+type fleetConfig struct {
+	// entries and endpoints are numbers of processes and stand-ins.
+	entries, endpoints int
+	serviceTime        time.Duration
+}
+
+// fleet is the stand-ins of the platform and the daemon processes.
+type fleet struct {
+	t         *testing.T
+	kv        *standin.KV
+	platform  *standin.Platform
+	storeURL  string
+	listURL   string
+	endpoints []*standin.Endpoint
+	entries   []*process
+}
+
+// process is one daemon process.
+type process struct {
+	id                               model.InstanceID
+	entryAddr, peerAddr, controlAddr string
+	config                           string
+	cmd                              *exec.Cmd
+	log                              *os.File
+	done                             chan error
+}
+
+var fleetRegions = []model.Region{"lagos", "abuja", "port-harcourt"}
+
+func newFleet(t *testing.T, cfg fleetConfig) *fleet {
+	t.Helper()
+	f := &fleet{t: t, kv: standin.NewKV(), platform: standin.NewPlatform()}
+	storeSrv := httptest.NewServer(f.kv.Handler())
+	listSrv := httptest.NewServer(f.platform)
+	f.storeURL, f.listURL = storeSrv.URL, listSrv.URL
+	t.Cleanup(func() {
+		storeSrv.CloseClientConnections()
+		storeSrv.Close()
+		listSrv.CloseClientConnections()
+		listSrv.Close()
+	})
+	for i := range cfg.endpoints {
+		f.addEndpoint(i, cfg.serviceTime)
+	}
+	for i := range cfg.entries {
+		f.addEntry(i)
+	}
+	f.platform.Publish()
+	for _, p := range f.entries {
+		f.start(p)
+	}
+	return f
+}
+
+func (f *fleet) addEndpoint(i int, serviceTime time.Duration) {
+	e, err := standin.StartEndpoint("127.0.0.1:0", standin.EndpointConfig{Slots: 4, Queue: 4, ServiceTime: serviceTime})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(e.Stop)
+	f.endpoints = append(f.endpoints, e)
+	region := fleetRegions[i%len(fleetRegions)]
+	f.platform.PutEndpoint(platform.EndpointRecord{
+		ID: model.EndpointID(fmt.Sprintf("entries-%d", i)), Service: "entries", Region: region,
+		Domain: model.Domain(region + "-a"), Addr: e.Addr(), Slots: 4, State: "live",
+	})
+}
+
+func (f *fleet) addEntry(i int) {
+	region := fleetRegions[i%len(fleetRegions)]
+	p := &process{
+		id:        model.InstanceID(fmt.Sprintf("%s-a-%d", region, i)),
+		entryAddr: freeAddr(f.t), peerAddr: freeAddr(f.t), controlAddr: freeAddr(f.t),
+		config: filepath.Join(f.t.TempDir(), "settings.json"),
+	}
+	text := fmt.Sprintf(`{"instance": %q, "region": %q, "domain": "%s-a",
+		"listen": {"entry": %q, "peer": %q, "control": %q},
+		"store": %q, "platform": {"url": %q, "poll": "200ms"},
+		"shutdown": {"announce": "1s", "grace": "10s"}, "log": {"level": "info"}}`,
+		p.id, region, region, p.entryAddr, p.peerAddr, p.controlAddr, f.storeURL, f.listURL)
+	if err := os.WriteFile(p.config, []byte(text), 0o644); err != nil {
+		f.t.Fatal(err)
+	}
+	f.entries = append(f.entries, p)
+	f.platform.PutEntry(platform.EntryRecord{
+		ID: p.id, Region: region, Domain: model.Domain(region + "-a"),
+		EntryAddr: netip.MustParseAddrPort(p.entryAddr), PeerAddr: netip.MustParseAddrPort(p.peerAddr),
+		ControlAddr: netip.MustParseAddrPort(p.controlAddr), State: "live",
+	})
+}
+
+// nextPort is the next port to try. The ports lie below the range from which
+// the system takes the local ports of connections (32768 and up), so that no
+// connection takes one between its choice and the start of a process.
+var nextPort = 20000 + rand.IntN(8000)
+
+// freeAddr returns a loopback address with a free port.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	for range 1000 {
+		nextPort++
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			_ = ln.Close()
+			return addr
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// start runs the process; its log is printed if the test fails.
+func (f *fleet) start(p *process) {
+	f.t.Helper()
+	log, err := os.CreateTemp(f.t.TempDir(), "log")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	p.log = log
+	p.cmd = exec.Command(binary, "run", "-config", p.config)
+	p.cmd.Stderr = log
+	if err := p.cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	p.done = make(chan error, 1)
+	cmd, done := p.cmd, p.done
+	go func() { done <- cmd.Wait() }()
+	f.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		if f.t.Failed() {
+			text, _ := os.ReadFile(log.Name())
+			f.t.Logf("log of %s:\n%s", p.id, text)
+		}
+	})
+}
