--- /dev/null
+++ b/internal/platform/http_test.go
@@ -0,0 +1,55 @@
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"jujubestile.example/jujubestile/internal/platform"
+	"jujubestile.example/jujubestile/internal/standin"
+)
+
+// Guards against a list whose leaving endpoints look live, or that shows
+// changes that the platform has not published.
+func TestListShowsLeavingEndpoints(t *testing.T) {
+	p := standin.NewPlatform()
+	srv := httptest.NewServer(p)
+	defer srv.Close()
+	rec := platform.EndpointRecord{ID: "results-1", Service: "results", Region: "lagos", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 4, State: "live"}
+	p.PutEndpoint(rec)
+	p.Publish()
+	rec.State = platform.StateLeaving
+	p.PutEndpoint(rec)
+	c := platform.NewClient(srv.URL)
+	defer c.Close()
+	for _, leaving := range []bool{false, true} {
+		l, err := c.List(context.Background())
+		if err != nil || len(l.Endpoints) != 1 || l.Endpoints[0].Leaving != leaving {
+			t.Fatalf("leaving=%v: %+v, %v", leaving, l, err)
+		}
+		p.Publish()
+	}
+}
+
+// Guards against taking a list that is cut short, malformed or an error page
+// for a fleet that has gone.
+func TestBadListsAreErrors(t *testing.T) {
+	for name, body := range map[string]string{
+		"cut short":     `{"endpoints":[{"id":"a","addr":"127.0.0.1:1","slots":4}`,
+		"not JSON":      `<html>`,
+		"no address":    `{"endpoints":[{"id":"a","slots":4}]}`,
+		"no slots":      `{"endpoints":[{"id":"a","addr":"127.0.0.1:1"}]}`,
+		"host name":     `{"endpoints":[{"id":"a","addr":"localhost:1","slots":4}]}`,
+		"entry no peer": `{"entries":[{"id":"a","entry_addr":"127.0.0.1:1"}]}`,
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
+		c := platform.NewClient(srv.URL)
+		if l, err := c.List(context.Background()); err == nil {
+			t.Errorf("%s: accepted %+v", name, l)
+		}
+		c.Close()
+		srv.Close()
+	}
+}
