--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -29,6 +29,31 @@
 	ServiceTime time.Duration
 	// ColdFor is how long after the start requests take twice as long.
 	ColdFor time.Duration
+	// Gauge counts the requests that run in a group of endpoints. May be nil.
+	Gauge *Gauge
+}
+
+// Gauge counts requests that run at the same time in a group of endpoints.
+type Gauge struct {
+	mu        sync.Mutex
+	now, most int
+}
+
+func (g *Gauge) add(d int) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.now += d
+	g.most = max(g.most, g.now)
+}
+
+// Most returns the largest number of requests at once.
+func (g *Gauge) Most() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.most
 }
 
 // Endpoint is a stand-in endpoint over HTTP. It knows nothing of the system.
@@ -155,6 +180,7 @@
 	}
 	e.waiting++
 	e.most = max(e.most, e.waiting)
+	e.cfg.Gauge.add(1)
 	return true
 }
 
@@ -162,6 +188,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.waiting--
+	e.cfg.Gauge.add(-1)
 }
 
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, body []byte) {
