--- /dev/null
+++ b/internal/rules/classify.go
@@ -0,0 +1,124 @@
+package rules
+
+import (
+	"net/http"
+	"strings"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// index finds the rules of a kind of request without scanning all of them.
+type index struct {
+	priorities map[Kind]model.Priority
+	repeatable map[Kind]bool
+}
+
+func newIndex(s *Set) *index {
+	x := &index{
+		priorities: make(map[Kind]model.Priority, len(s.Priorities)),
+		repeatable: make(map[Kind]bool, len(s.Repeatable)),
+	}
+	for _, k := range s.Priorities {
+		x.priorities[k.Kind.normal()] = k.Priority
+	}
+	for _, k := range s.Repeatable {
+		x.repeatable[k.normal()] = true
+	}
+	return x
+}
+
+// normal gives the root path one spelling.
+func (k Kind) normal() Kind {
+	if k.PathPrefix == "" {
+		k.PathPrefix = "/"
+	}
+	return k
+}
+
+// Classify returns the priority of a request and whether it may run twice
+// without harm. The priority is 0 for an unknown service. The path is decoded
+// and has no . or .. segments; a query is ignored. A path prefix matches whole
+// segments: /search matches /search/old and not /searches. GET, HEAD and
+// OPTIONS are always repeatable (safe methods of RFC 9110).
+func (s *Set) Classify(service model.Service, method, path string) (model.Priority, bool) {
+	priority, known := s.Services[service]
+	if !known {
+		return 0, false
+	}
+	x := s.index
+	if x == nil {
+		x = newIndex(s)
+	}
+	path, _, _ = strings.Cut(path, "?")
+	if p, found := x.priority(service, method, path); found {
+		priority = p
+	}
+	return priority, safe(method) || x.isRepeatable(service, method, path)
+}
+
+func safe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+func (x *index) priority(s model.Service, method, path string) (model.Priority, bool) {
+	if len(x.priorities) == 0 {
+		return 0, false
+	}
+	for prefix := path; prefix != ""; prefix = shorter(prefix) {
+		if p, found := x.priorities[Kind{s, method, prefix}]; found {
+			return p, true
+		}
+		if p, found := x.priorities[Kind{s, "", prefix}]; found {
+			return p, true
+		}
+	}
+	return 0, false
+}
+
+func (x *index) isRepeatable(s model.Service, method, path string) bool {
+	if len(x.repeatable) == 0 {
+		return false
+	}
+	for prefix := path; prefix != ""; prefix = shorter(prefix) {
+		if x.repeatable[Kind{s, method, prefix}] || x.repeatable[Kind{s, "", prefix}] {
+			return true
+		}
+	}
+	return false
+}
+
+// shorter drops the last segment of a path. It returns "" after the root.
+func shorter(path string) string {
+	i := strings.LastIndexByte(path, '/')
+	switch {
+	case path == "/" || i < 0:
+		return ""
+	case i == 0:
+		return "/"
+	}
+	return path[:i]
+}
+
+// RegionDrained reports whether the rules drain all failure domains of a
+// region. It is false for an unknown region.
+func (s *Set) RegionDrained(r model.Region) bool {
+	domains := s.Regions[r]
+	for _, d := range domains {
+		if !s.DrainDomains[d] {
+			return false
+		}
+	}
+	return len(domains) > 0
+}
+
+// EndpointDrained reports whether the rules drain an endpoint or its failure
+// domain.
+func (s *Set) EndpointDrained(id model.EndpointID, d model.Domain) bool {
+	return s.DrainEndpoints[id] || s.DrainDomains[d]
+}
+
+// InstanceDrained reports whether the rules drain an entry instance or its
+// failure domain.
+func (s *Set) InstanceDrained(id model.InstanceID, d model.Domain) bool {
+	return s.DrainInstances[id] || s.DrainDomains[d]
+}
--- a/internal/rules/set.go
+++ b/internal/rules/set.go
@@ -73,4 +73,7 @@
 	DrainDomains   map[model.Domain]bool
 	Held           map[model.Service]bool
 	Callers        []CallerBlock
+
+	// index serves Classify. It is nil in a Set that was not parsed.
+	index *index
 }
