--- /dev/null
+++ b/internal/balance/pool.go
@@ -0,0 +1,139 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// meanWeight is the weight of a new sample in the mean latency of a pool.
+const meanWeight = 0.02
+
+// pool is the endpoints of one service in one region, without leaving and
+// drained ones.
+type pool struct {
+	// subset is what the instance normally uses; rest is used when the subset
+	// has no usable endpoint.
+	subset []*endpoint
+	rest   []*endpoint
+	mean   float64
+}
+
+func (p *pool) meanLatency() float64 {
+	if p.mean == 0 {
+		return defaultLatency
+	}
+	return p.mean
+}
+
+func (p *pool) sample(ns float64) {
+	if p.mean == 0 {
+		p.mean = ns
+		return
+	}
+	p.mean += meanWeight * (ns - p.mean)
+}
+
+// pick returns the better of two random usable endpoints of the subset. When
+// more than half of the subset is not usable, it distrusts the measurements
+// and uses all. It returns nil if all are excluded.
+func (p *pool) pick(now time.Time, rnd *rand.Rand, exclude []model.EndpointID, probe bool) *endpoint {
+	if probe {
+		if e := p.probe(now, exclude); e != nil {
+			return e
+		}
+	}
+	if e := p.pickFrom(p.subset, now, rnd, exclude); e != nil {
+		return e
+	}
+	return p.pickFrom(p.rest, now, rnd, exclude)
+}
+
+// probe returns an ejected endpoint whose pause has passed, so that the
+// request shows whether it is back.
+func (p *pool) probe(now time.Time, exclude []model.EndpointID) *endpoint {
+	for _, e := range p.subset {
+		if e.ejected && e.probeDue(now) && !e.alone && !slices.Contains(exclude, e.ID) {
+			return e
+		}
+	}
+	return nil
+}
+
+func (p *pool) pickFrom(from []*endpoint, now time.Time, rnd *rand.Rand, exclude []model.EndpointID) *endpoint {
+	if len(from) == 0 {
+		return nil
+	}
+	all := distrust(from, now)
+	allowed := func(e *endpoint) bool {
+		return (all || e.usable(now)) && !e.alone && !slices.Contains(exclude, e.ID)
+	}
+	a := draw(from, now, rnd, allowed)
+	b := draw(from, now, rnd, allowed)
+	if a == nil && b == nil {
+		return lowest(from, now, allowed)
+	}
+	return better(now, a, b)
+}
+
+// distrust reports whether more than half of the endpoints look unhealthy.
+func distrust(from []*endpoint, now time.Time) bool {
+	out := 0
+	for _, e := range from {
+		if e.ejected || now.Before(e.pausedUntil) {
+			out++
+		}
+	}
+	return 2*out > len(from)
+}
+
+// draw returns a random allowed endpoint, or nil after drawLimit draws. A cold
+// endpoint is passed over with the probability that its ramp leaves.
+func draw(from []*endpoint, now time.Time, rnd *rand.Rand, allowed func(*endpoint) bool) *endpoint {
+	for range drawLimit {
+		e := from[rnd.IntN(len(from))]
+		if !allowed(e) {
+			continue
+		}
+		if r := e.ramp(now); r == 1 || rnd.Float64() < r {
+			return e
+		}
+	}
+	return nil
+}
+
+func better(now time.Time, a, b *endpoint) *endpoint {
+	if a == nil {
+		return b
+	}
+	if b == nil || a == b || a.cost(now) <= b.cost(now) {
+		return a
+	}
+	return b
+}
+
+// lowest returns the allowed endpoint of the lowest cost, or nil.
+func lowest(from []*endpoint, now time.Time, allowed func(*endpoint) bool) *endpoint {
+	var found *endpoint
+	lowestCost := 0.0
+	for _, e := range from {
+		if !allowed(e) {
+			continue
+		}
+		if c := e.cost(now) / e.ramp(now); found == nil || c < lowestCost {
+			found, lowestCost = e, c
+		}
+	}
+	return found
+}
+
+// best returns the lowest of the subset, or of the rest.
+func (p *pool) best(now time.Time, exclude []model.EndpointID, ok func(*endpoint) bool) *endpoint {
+	allowed := func(e *endpoint) bool { return ok(e) && !slices.Contains(exclude, e.ID) }
+	if e := lowest(p.subset, now, allowed); e != nil {
+		return e
+	}
+	return lowest(p.rest, now, allowed)
+}
--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -67,6 +67,11 @@
 	// Utilization is the load that the endpoint reported, from 0 to 1, or a
 	// negative value without a report.
 	Utilization float64
+	// RetryAfter is what an endpoint that refused asked for, or 0.
+	RetryAfter time.Duration
+	// Censored means that the attempt was cancelled after Latency because
+	// another attempt answered first. The answer would have taken longer.
+	Censored bool
 }
 
 // Balancer chooses endpoints inside a region.
--- /dev/null
+++ b/internal/dispatch/send.go
@@ -0,0 +1,325 @@
+package dispatch
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// Causes for which the Dispatcher itself cancels an attempt.
+const (
+	errPreempted = errors.ConstError("attempt preempted by priority 1 work")
+	errOvertaken = errors.ConstError("another attempt answered first")
+)
+
+// loadHeader carries an endpoint's load report (ORCA, in the TEXT format:
+// "TEXT cpu_utilization=0.3, application_utilization=0.5").
+const loadHeader = "Endpoint-Load-Metrics"
+
+// sent is what one Send returned.
+type sent struct {
+	response *Response
+	err      error
+	// cause is why the attempt's context was cancelled, or nil.
+	cause error
+}
+
+// send runs one attempt and, for work worth it, a hedged second one.
+func (x *exchange) send(ctx context.Context, permit Permit, to model.Endpoint) {
+	x.attempts++
+	if !x.cancellable() {
+		s := x.attempt(ctx, ctx, permit, to)
+		x.conclude(s)
+		return
+	}
+	own, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	permit.Preemptible(func() { cancel(errPreempted) })
+	h := x.startHedge(ctx, cancel)
+	s := x.attempt(ctx, own, permit, to)
+	x.conclude(h.settle(x, s))
+}
+
+// cancellable reports whether the Dispatcher may cancel an attempt itself.
+func (x *exchange) cancellable() bool {
+	return x.r.Repeatable
+}
+
+// attempt sends once, teaches the balancer and returns the slot.
+func (x *exchange) attempt(caller, ctx context.Context, permit Permit, to model.Endpoint) sent {
+	d := x.d
+	if q := d.cfg.Quarantine; q != nil {
+		q.Started(x.fingerprint, to.ID)
+	}
+	start := time.Now()
+	response, err := d.cfg.Transport.Send(ctx, to, x.r)
+	now := time.Now()
+	s := sent{response: response, err: err}
+	if err != nil {
+		err = known(err)
+		s.err = err
+	}
+	if err != nil && ctx.Err() != nil {
+		s.cause = context.Cause(ctx)
+	}
+	if q := d.cfg.Quarantine; q != nil {
+		q.Finished(x.fingerprint, to.ID, s.cause == nil && errors.Is(err, ErrInterrupted))
+	}
+	x.observe(now, now.Sub(start), to, s)
+	x.release(caller, now, now.Sub(start), permit, to, s)
+	return s
+}
+
+// known maps an error outside a Transport's contract to the one that promises
+// least.
+func known(err error) error {
+	if errors.Is(err, ErrNotSent) || errors.Is(err, ErrRefused) || errors.Is(err, ErrInterrupted) {
+		return err
+	}
+	return errors.WithType(err, ErrInterrupted)
+}
+
+func (x *exchange) observe(now time.Time, latency time.Duration, to model.Endpoint, s sent) {
+	o := Observation{Endpoint: to, Latency: latency, Err: s.err, Utilization: -1}
+	switch {
+	case s.cause == errOvertaken:
+		o.Censored = true
+	case s.cause != nil && !errors.Is(s.cause, context.DeadlineExceeded):
+		x.d.cfg.Balancer.Cancel(to.ID)
+		return
+	}
+	if s.response != nil {
+		o.Status = s.response.Status
+		o.Utilization = utilization(s.response)
+		o.RetryAfter = RetryAfterOf(s.response)
+	}
+	x.d.cfg.Balancer.Observe(now, o)
+}
+
+// release returns the slot of an attempt. An interrupted one may still run
+// until its deadline. A cancelled repeatable one ends as soon as the endpoint
+// has the cancellation. A cancelled non-repeatable one keeps its slot until
+// the deadline, because an endpoint need not stop an entry that it has begun.
+func (x *exchange) release(caller context.Context, now time.Time, took time.Duration, permit Permit, to model.Endpoint, s sent) {
+	if !errors.Is(s.err, ErrInterrupted) {
+		if s.err == nil {
+			permit.Answered(took)
+			x.policy.Answered(took)
+		}
+		permit.Release()
+		return
+	}
+	deadline, _ := caller.Deadline()
+	if s.cause != nil && x.r.Repeatable {
+		bound := farCancelTime
+		if to.Region == x.d.cfg.Region {
+			bound = nearCancelTime
+		}
+		if at := now.Add(bound); at.Before(deadline) {
+			deadline = at
+		}
+	}
+	permit.ReleaseAt(deadline)
+}
+
+// conclude turns the end of an attempt into the exchange's state.
+func (x *exchange) conclude(s sent) {
+	switch {
+	case s.err == nil && s.response != nil:
+		x.last.response = s.response
+		x.last.reason = ReasonAnswered
+		x.last.final = !retryableStatus(s.response.Status)
+	case errors.Is(s.err, ErrRefused):
+		x.last.reason = ReasonRefused
+		x.last.retryAfter = max(time.Second, RetryAfterOf(s.response))
+	case errors.Is(s.err, ErrNotSent):
+		x.last.reason = ReasonNotSent
+		x.last.retryAfter = time.Second
+	default:
+		x.mayHaveRun = true
+		x.interrupted(s.cause)
+	}
+}
+
+func (x *exchange) interrupted(cause error) {
+	switch {
+	case cause == nil:
+		x.last.reason = ReasonInterrupted
+	case cause == errPreempted:
+		x.last.reason = ReasonPreempted
+		x.tried = x.tried[:len(x.tried)-1] // the endpoint did nothing wrong
+		x.last.retryAfter = time.Second
+	case errors.Is(cause, context.DeadlineExceeded):
+		x.last.reason = ReasonDeadline
+		x.last.final = true
+	default:
+		x.last.reason = ReasonCancelled
+		x.last.final = true
+	}
+}
+
+// hedge is a second attempt that starts when the first takes unusually long.
+type hedge struct {
+	timer *time.Timer
+	mu    sync.Mutex
+	// started is set when the second attempt was sent, done when it ended.
+	started bool
+	stopped bool
+	done    chan struct{}
+	end     sent
+	to      model.Endpoint
+	cancel  context.CancelCauseFunc
+}
+
+// startHedge arms the timer of a hedged attempt for repeatable priority 1 and
+// 2 work. It returns nil if there is none.
+func (x *exchange) startHedge(ctx context.Context, cancelFirst context.CancelCauseFunc) *hedge {
+	if x.r.Priority == model.PriorityBulk || x.verdict != VerdictAllow {
+		return nil
+	}
+	delay, ok := x.policy.HedgeDelay()
+	deadline, _ := ctx.Deadline()
+	if !ok || time.Until(deadline) < 2*delay {
+		return nil
+	}
+	h := &hedge{done: make(chan struct{})}
+	need := x.need(ctx)
+	tried := append([]model.EndpointID(nil), x.tried...)
+	x.d.hedges.Add(1)
+	h.timer = time.AfterFunc(delay, func() {
+		defer x.d.hedges.Done()
+		h.run(ctx, x, need, tried, cancelFirst)
+	})
+	return h
+}
+
+// run makes the second attempt if a slot, an endpoint and a token are free.
+// It never waits for a slot: a request that already runs must not delay others.
+func (h *hedge) run(ctx context.Context, x *exchange, need Need, tried []model.EndpointID, cancelFirst context.CancelCauseFunc) {
+	defer close(h.done)
+	permit, to, ok := x.placeHedge(need, tried)
+	if !ok {
+		return
+	}
+	own, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	h.mu.Lock()
+	h.started = !h.stopped
+	h.to = to
+	h.cancel = cancel
+	started := h.started
+	h.mu.Unlock()
+	if !started {
+		x.policy.Budget.Refund()
+		x.d.cfg.Balancer.Cancel(to.ID)
+		permit.Release()
+		return
+	}
+	h.end = x.attempt(ctx, own, permit, to)
+	if h.end.err == nil {
+		cancelFirst(errOvertaken)
+	}
+}
+
+func (x *exchange) placeHedge(need Need, tried []model.EndpointID) (Permit, model.Endpoint, bool) {
+	if !x.policy.Budget.Withdraw() {
+		return nil, model.Endpoint{}, false
+	}
+	now := time.Now()
+	permit, ok := x.d.cfg.Admission.TryAdmit(now, need)
+	if !ok {
+		x.policy.Budget.Refund()
+		return nil, model.Endpoint{}, false
+	}
+	to, ok := x.d.cfg.Balancer.Pick(now, need.Service, permit.Region(), tried)
+	if !ok {
+		permit.Release()
+		x.policy.Budget.Refund()
+		return nil, model.Endpoint{}, false
+	}
+	return permit, to, true
+}
+
+// settle chooses between the first attempt's end and the second attempt.
+func (h *hedge) settle(x *exchange, first sent) sent {
+	if h == nil {
+		return first
+	}
+	if h.timer.Stop() {
+		x.d.hedges.Done()
+		return first
+	}
+	h.mu.Lock()
+	h.stopped = true
+	started := h.started
+	cancel := h.cancel
+	h.mu.Unlock()
+	if !started {
+		return first
+	}
+	x.attempts++
+	x.tried = append(x.tried, h.to.ID)
+	if first.err == nil {
+		cancel(errOvertaken)
+		return first
+	}
+	<-h.done
+	if h.end.err != nil {
+		x.mayHaveRun = x.mayHaveRun || errors.Is(first.err, ErrInterrupted)
+		return h.end
+	}
+	x.last.endpoint, x.last.region = h.to.ID, h.to.Region
+	return h.end
+}
+
+// Fingerprint identifies requests that do the same at an endpoint: service,
+// method, path with query, and body, without the key.
+func Fingerprint(r *Request) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	for _, s := range [...]string{string(r.Service), r.Method, r.Path} {
+		_, _ = h.WriteString(s)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	return h.Sum64()
+}
+
+// utilization reads the load report of an answer, or returns -1.
+func utilization(r *Response) float64 {
+	v := r.Header.Get(loadHeader)
+	v, ok := strings.CutPrefix(v, "TEXT ")
+	if !ok {
+		return -1
+	}
+	u := -1.0
+	for field := range strings.SplitSeq(v, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		f, err := strconv.ParseFloat(value, 64)
+		if err != nil || f < 0 {
+			continue
+		}
+		if name == "application_utilization" {
+			return f
+		}
+		if name == "cpu_utilization" {
+			u = f
+		}
+	}
+	return u
+}
+
+func parseSeconds(v string) time.Duration {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 || n > 3600 {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
