--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,148 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// step is one step of a simulated history.
+type step struct {
+	Kind  string
+	Node  int
+	Other int
+	Key   int
+	Wait  time.Duration
+}
+
+var stepKinds = []string{
+	"request", "request", "request", "request", "resend", "resend", "resend", "resend", "resend",
+	"lookup", "crash", "pause", "cut", "handover", "outage", "epochs", "own",
+}
+
+func drawSteps(t *rapid.T) []step {
+	draw := rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Kind:  rapid.SampledFrom(stepKinds).Draw(t, "kind"),
+			Node:  rapid.IntRange(0, 3).Draw(t, "node"),
+			Other: rapid.IntRange(0, 3).Draw(t, "other"),
+			Key:   rapid.IntRange(0, 7).Draw(t, "key"),
+			Wait:  time.Duration(rapid.SampledFrom([]int{0, 0, 1, 5, 200, 1500}).Draw(t, "wait")) * time.Millisecond,
+		}
+	})
+	return rapid.SliceOfN(draw, 5, 60).Draw(t, "steps")
+}
+
+var names = []model.InstanceID{"a", "b", "c", "d"}
+
+// play runs a history and then resends every key everywhere.
+func play(w *world, steps []step) {
+	var keys []string
+	for i, s := range steps {
+		keys = w.step(s, i, keys)
+		time.Sleep(s.Wait)
+	}
+	time.Sleep(10 * time.Second)
+	w.wg.Wait()
+	w.mu.Lock()
+	w.lossy = false
+	w.mu.Unlock()
+	for _, key := range keys {
+		for _, id := range names {
+			w.wg.Add(2)
+			go w.request(id, key, 1)
+			go w.lookup(id, key)
+		}
+	}
+	w.wg.Wait()
+	for _, n := range w.nodes {
+		n.l.Flush(context.Background())
+	}
+	time.Sleep(10 * time.Second)
+}
+
+func (w *world) step(s step, i int, keys []string) []string {
+	id, other := names[s.Node], names[s.Other]
+	n := w.node(id)
+	switch s.Kind {
+	case "request":
+		keys = append(keys, fmt.Sprintf("%sr%d", n.l.Prefix(), i))
+		w.wg.Add(1)
+		go w.request(other, keys[len(keys)-1], 1)
+	case "own":
+		keys = append(keys, fmt.Sprintf("own-%d", i))
+		w.wg.Add(2)
+		go w.request(id, keys[len(keys)-1], 1)
+		go w.request(other, keys[len(keys)-1], 1)
+	case "resend", "lookup":
+		if len(keys) == 0 {
+			break
+		}
+		key := keys[max(0, len(keys)-1-s.Key)]
+		w.wg.Add(1)
+		if s.Kind == "resend" {
+			go w.request(other, key, 1)
+		} else {
+			go w.lookup(other, key)
+		}
+	case "crash":
+		w.start(id)
+	case "pause":
+		w.setUntil(func(t time.Time) { n.paused = t }, 3*time.Second)
+	case "cut":
+		w.setUntil(func(t time.Time) { w.cut[[2]model.InstanceID{id, other}] = t }, 5*time.Second)
+	case "outage":
+		w.setUntil(func(t time.Time) { w.store.down = t }, 5*time.Second)
+	case "epochs":
+		time.Sleep(time.Duration(s.Key) * 4 * time.Minute)
+	case "handover":
+		w.handOver(n, other)
+	}
+	return keys
+}
+
+func (w *world) setUntil(set func(time.Time), d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	set(time.Now().Add(d))
+}
+
+func (w *world) handOver(n *node, to model.InstanceID) {
+	if n.id == to {
+		return
+	}
+	w.mu.Lock()
+	w.successor[source{n.id, n.inc}] = to
+	w.mu.Unlock()
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		_ = n.l.HandOver(context.Background(), to)
+	}()
+}
+
+// Guards against a second execution of a key, against "not run" for a key that
+// has run or runs later, and against an outcome that changes, under crashes,
+// pauses, partitions, planned stops, epochs that end, store outages and lost,
+// late and duplicated messages.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		seed := rapid.Uint64().Draw(rt, "seed")
+		var bad []string
+		synctest.Test(t, func(*testing.T) {
+			w := newWorld(seed, names...)
+			play(w, steps)
+			bad = w.violations()
+		})
+		if len(bad) > 0 {
+			rt.Fatalf("%q", bad)
+		}
+	})
+}
