--- a/internal/ledger/inherit.go
+++ b/internal/ledger/inherit.go
@@ -26,7 +26,10 @@
 // message with Final also hands over the right to run the keys without a
 // record. It takes effect only if all Total records have arrived.
 type InheritArgs struct {
-	From         source
+	From source
+	// To is the successor's incarnation. A message that arrives after the
+	// successor restarted must not create the right anew.
+	To           source
 	Epoch, Floor uint64
 	Records      []WireRecord
 	Total        int
@@ -49,8 +52,11 @@
 	// response.
 	wireRecordBytes = 100
 	// maxStagedSets bounds the memory of unfinished handovers.
-	maxStagedSets   = 16
-	stagingTimeout  = time.Minute
+	maxStagedSets  = 16
+	stagingTimeout = time.Minute
+	// maxInherited bounds the list of sets that were inherited once. Further
+	// ones are refused. At 760 restarts a day over the fleet it is not reached.
+	maxInherited    = 4096
 	inheritAttempts = 3
 	// ErrNotInherited means that the successor did not confirm. The keys of
 	// this instance are then answered by their witnesses only.
@@ -62,23 +68,23 @@
 // then on this instance claims no key on its own. The right cannot be handed
 // to a second successor, because the first may hold it even if its reply was
 // lost.
-func (l *Ledger) HandOver(ctx context.Context, successor model.InstanceID) error {
-	messages, err := l.freeze(successor)
+func (l *Ledger) HandOver(ctx context.Context, successor model.InstanceID, inc model.Incarnation) error {
+	messages, err := l.freeze(source{successor, inc})
 	if err != nil {
 		return err
 	}
 	for _, m := range messages {
-		if err := l.sendInherit(ctx, successor, m); err != nil {
+		if err := l.sendInherit(ctx, m); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (l *Ledger) sendInherit(ctx context.Context, to model.InstanceID, m *InheritArgs) error {
+func (l *Ledger) sendInherit(ctx context.Context, m *InheritArgs) error {
 	for range inheritAttempts {
 		reply := &InheritReply{}
-		err := l.call(ctx, to, "Ledger.Inherit", m, reply)
+		err := l.call(ctx, m.To.Instance, "Ledger.Inherit", m, reply)
 		if err == nil && (reply.Taken || !m.Final) {
 			return nil
 		}
@@ -86,7 +92,7 @@
 	return errors.Trace(ErrNotInherited)
 }
 
-func (l *Ledger) freeze(successor model.InstanceID) ([]*InheritArgs, error) {
+func (l *Ledger) freeze(successor source) ([]*InheritArgs, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.frozen {
@@ -98,14 +104,14 @@
 	for src, s := range l.book.sets {
 		if !s.frozen {
 			s.frozen = true
-			messages = append(messages, inheritMessages(src, s)...)
+			messages = append(messages, inheritMessages(src, successor, s)...)
 		}
 	}
 	return messages, nil
 }
 
-func inheritMessages(src source, s *set) []*InheritArgs {
-	next := func() *InheritArgs { return &InheritArgs{From: src, Epoch: s.epoch, Floor: s.floor} }
+func inheritMessages(src, to source, s *set) []*InheritArgs {
+	next := func() *InheritArgs { return &InheritArgs{From: src, To: to, Epoch: s.epoch, Floor: s.floor} }
 	m, size, total := next(), 0, 0
 	var messages []*InheritArgs
 	for epoch, records := range s.records {
@@ -149,7 +155,8 @@
 		reply.Taken = true
 		return nil
 	}
-	if l.frozen {
+	known := l.inherited[a.From] || len(l.inherited) >= maxInherited
+	if l.frozen || known || a.To != l.book.self || a.From == l.book.self {
 		return errors.Trace(ErrNotInherited)
 	}
 	st := l.stage(now, a.From)
@@ -163,6 +170,7 @@
 		return nil
 	}
 	delete(l.staged, a.From)
+	l.inherited[a.From] = true
 	l.book.sets[a.From] = l.inheritedSet(now, a, st)
 	reply.Taken = true
 	return nil
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -58,8 +58,11 @@
 	register *register
 	// successor holds the right to this instance's keys after Inherit began
 	// to hand it over.
-	successor model.InstanceID
+	successor source
 	frozen    bool
+	// inherited lists all sets that this incarnation ever inherited. A late
+	// duplicate of a handover must not bring back a discarded set.
+	inherited map[source]bool
 	staged    map[source]*staging
 	avoided   map[model.InstanceID]time.Time
 }
@@ -68,12 +71,13 @@
 func New(cfg Config) *Ledger {
 	self := source{cfg.Self, cfg.Inc}
 	l := &Ledger{
-		cfg:      cfg,
-		outbox:   newOutbox(cfg.Peers),
-		book:     newBook(time.Now(), self, maxOwnerRecords),
-		register: newRegister(cfg.Self, cfg.Inc, maxWitnessRecords),
-		staged:   map[source]*staging{},
-		avoided:  map[model.InstanceID]time.Time{},
+		cfg:       cfg,
+		outbox:    newOutbox(cfg.Peers),
+		book:      newBook(time.Now(), self, maxOwnerRecords),
+		register:  newRegister(cfg.Self, cfg.Inc, maxWitnessRecords),
+		inherited: map[source]bool{},
+		staged:    map[source]*staging{},
+		avoided:   map[model.InstanceID]time.Time{},
 	}
 	l.binder = newBinder(l)
 	return l
@@ -193,7 +197,7 @@
 	case !s.accepts(q.key.Epoch):
 		return answer{err: refuse(ReasonExpired)}
 	case s.frozen:
-		return l.startAsking(q, l.successor)
+		return l.startAsking(q, l.successor.Instance)
 	case q.lookup:
 		return answer{result: l.book.close(s, q.key.Epoch, q.id).result}
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -119,11 +119,12 @@
 	}
 	w.mu.Lock()
 	w.successor[source{n.id, n.inc}] = to
+	inc := w.nodes[to].inc
 	w.mu.Unlock()
 	w.wg.Add(1)
 	go func() {
 		defer w.wg.Done()
-		_ = n.l.HandOver(context.Background(), to)
+		_ = n.l.HandOver(context.Background(), to, inc)
 	}()
 }
 
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -105,7 +105,7 @@
 	case v == transferDone:
 		reply.Result = r.result
 	case v == transferMoved && r == nil:
-		reply.Holder = source{Instance: l.successor}
+		reply.Holder = l.successor
 	case v == transferMoved:
 		reply.Holder = source{r.token.Instance, r.token.Inc}
 	}
