--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -136,9 +136,10 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := drawSteps(rt)
 		seed := rapid.Uint64().Draw(rt, "seed")
+		small := rapid.Bool().Draw(rt, "small")
 		var bad []string
 		synctest.Test(t, func(*testing.T) {
-			w := newWorld(seed, names...)
+			w := newWorld(seed, small, names...)
 			play(w, steps)
 			bad = w.violations()
 		})
--- a/internal/ledger/sim_test.go
+++ b/internal/ledger/sim_test.go
@@ -22,6 +22,7 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	lossy     bool
+	small     bool
 	nodes     map[model.InstanceID]*node
 	cut       map[[2]model.InstanceID]time.Time
 	successor map[source]model.InstanceID
@@ -41,9 +42,12 @@
 	paused time.Time
 }
 
-func newWorld(seed uint64, names ...model.InstanceID) *world {
+// newWorld starts the named instances. In a small world their tables are
+// nearly always full.
+func newWorld(seed uint64, small bool, names ...model.InstanceID) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 1)), lossy: true, nodes: map[model.InstanceID]*node{},
+		small: small,
+		rng:   rand.New(rand.NewPCG(seed, 1)), lossy: true, nodes: map[model.InstanceID]*node{},
 		cut: map[[2]model.InstanceID]time.Time{}, successor: map[source]model.InstanceID{},
 		runs: map[string]int{}, seen: map[string][]string{}, store: &simStore{values: map[string]store.KeyValue{}},
 	}
@@ -58,6 +62,9 @@
 	time.Sleep(time.Nanosecond)
 	n := &node{w: w, id: id, inc: model.Incarnation(time.Now().UnixNano())}
 	n.l = New(Config{Self: id, Inc: n.inc, Peers: n, Members: n, Store: w.store})
+	if w.small {
+		n.l.register.max, n.l.book.max = 3, 8
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if old := w.nodes[id]; old != nil {
