peer: add the server and the connection pool for calls between instances

net/rpc has no deadlines, size limits, reconnection or recovery from panics, which the failure model needs. ServeCodec runs methods in goroutines of its own, where a panic ends the process, so the server uses ServeRequest, one goroutine a call. Frames carry a length that is checked before decoding; relying on gob's own bound was ruled out, because it is 1 GB. Arguments get the caller's deadline and trace through ContextReceiver.

--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,150 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	frameHeaderBytes = 4
+	// keepBufferBytes is the largest buffer kept between messages. Larger
+	// ones are rare and would hold memory for each connection.
+	keepBufferBytes = 16 << 10
+	readBufferBytes = 2 << 10
+)
+
+// requestHeader precedes the arguments of a call.
+type requestHeader struct {
+	Method string
+	Seq    uint64
+	// TimeoutMS is how long the caller waits, in milliseconds.
+	TimeoutMS uint32
+	// Traceparent is the caller's span in the form of W3C Trace Context, or
+	// empty. gob does not transmit empty fields.
+	Traceparent string
+}
+
+// responseHeader precedes the result of a call. It has no method name, because
+// net/rpc matches calls by Seq.
+type responseHeader struct {
+	Seq   uint64
+	Error string
+}
+
+// countingConn adds the bytes of a connection to the counters of its owner.
+type countingConn struct {
+	net.Conn
+	in, out *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Add(int64(n))
+	return n, err
+}
+
+// frameReader decodes the frames of one direction of a connection.
+type frameReader struct {
+	conn net.Conn
+	br   *bufio.Reader
+	buf  bytes.Buffer
+	dec  *gob.Decoder
+}
+
+func newFrameReader(conn net.Conn) *frameReader {
+	r := &frameReader{conn: conn, br: bufio.NewReaderSize(conn, readBufferBytes)}
+	r.dec = gob.NewDecoder(&r.buf)
+	return r
+}
+
+// next reads one frame. It waits up to idle for the first byte (zero: without
+// limit) and up to rest for the others. The memory grows with the bytes that
+// arrive, not with the length that the frame claims.
+func (r *frameReader) next(idle, rest time.Duration) error {
+	if err := r.conn.SetReadDeadline(deadlineAfter(idle)); err != nil {
+		return err
+	}
+	if _, err := r.br.Peek(1); err != nil {
+		return err
+	}
+	if err := r.conn.SetReadDeadline(deadlineAfter(rest)); err != nil {
+		return err
+	}
+	var head [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r.br, head[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n == 0 || n > MaxMessageBytes {
+		return errors.Annotatef(ErrTooLarge, "frame of %d bytes", n)
+	}
+	r.reset()
+	_, err := io.CopyN(&r.buf, r.br, int64(n))
+	return err
+}
+
+func (r *frameReader) reset() {
+	if r.buf.Cap() > keepBufferBytes {
+		r.buf = bytes.Buffer{}
+		return
+	}
+	r.buf.Reset()
+}
+
+func deadlineAfter(d time.Duration) time.Time {
+	if d == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(d)
+}
+
+// frameEncoder encodes the frames of one direction of a connection. After an
+// error its stream is unusable, because the other side may lack type
+// descriptions that count as sent.
+type frameEncoder struct {
+	buf bytes.Buffer
+	enc *gob.Encoder
+}
+
+func newFrameEncoder() *frameEncoder {
+	e := &frameEncoder{}
+	e.enc = gob.NewEncoder(&e.buf)
+	return e
+}
+
+// encode returns a frame with the given values. The result is valid until the
+// next call.
+func (e *frameEncoder) encode(head, body any) ([]byte, error) {
+	if e.buf.Cap() > keepBufferBytes {
+		e.buf = bytes.Buffer{}
+	}
+	e.buf.Reset()
+	e.buf.Write(make([]byte, frameHeaderBytes))
+	if err := e.enc.Encode(head); err != nil {
+		return nil, err
+	}
+	if err := e.enc.Encode(body); err != nil {
+		return nil, err
+	}
+	frame := e.buf.Bytes()
+	n := len(frame) - frameHeaderBytes
+	if n > MaxMessageBytes {
+		return nil, errors.Annotatef(ErrTooLarge, "frame of %d bytes", n)
+	}
+	binary.BigEndian.PutUint32(frame, uint32(n))
+	return frame, nil
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,342 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/goleak"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type Text struct{ S string }
+
+type Waiting struct {
+	For time.Duration
+	ctx context.Context
+}
+
+func (w *Waiting) SetCallContext(ctx context.Context) { w.ctx = ctx }
+
+type Echo struct{ ran atomic.Int64 }
+
+func (e *Echo) Say(in Text, out *Text) error   { e.ran.Add(1); out.S = in.S; return nil }
+func (e *Echo) Panic(in Text, out *Text) error { panic("broken method") }
+func (e *Echo) Fail(in Text, out *Text) error  { return errors.New("refused") }
+func (e *Echo) Trace(in *Waiting, out *Text) error {
+	out.S = trace.SpanContextFromContext(in.ctx).TraceID().String()
+	return nil
+}
+func (e *Echo) Wait(in *Waiting, out *Text) error {
+	select {
+	case <-time.After(in.For):
+		out.S = "time"
+	case <-in.ctx.Done():
+		out.S = "context"
+	}
+	return nil
+}
+
+func listen(t testing.TB, addr string) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+func serve(t testing.TB, ln net.Listener, o ServerOptions) (*Server, *Echo) {
+	t.Helper()
+	s, e := NewServer(o), &Echo{}
+	if err := s.Register("Echo", e); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, e
+}
+
+func pool(t testing.TB, addr string, o PoolOptions) *Pool {
+	t.Helper()
+	a := netip.MustParseAddrPort(addr)
+	p := NewPool(func(model.InstanceID) (netip.AddrPort, bool) { return a, true }, o)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func say(p *Pool, s string, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var out Text
+	err := p.Call(ctx, "a", "Echo.Say", Text{s}, &out)
+	return out.S, err
+}
+
+// waitFor polls because the counters change in other goroutines.
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+// Guards against mixing up answers of concurrent calls on one connection, and
+// against opening a connection for each call, which would send the type
+// descriptions each time.
+func TestConcurrentCalls(t *testing.T) {
+	ln := listen(t, "127.0.0.1:0")
+	serve(t, ln, ServerOptions{})
+	p := pool(t, ln.Addr().String(), PoolOptions{})
+	var wg sync.WaitGroup
+	for i := range 50 {
+		wg.Go(func() {
+			want := string(rune('a' + i))
+			for range 20 {
+				if got, err := say(p, want, 5*time.Second); got != want || err != nil {
+					t.Errorf("got %q, %v, want %q", got, err, want)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if n := p.Stats()["dials"]; n > 2 {
+		t.Errorf("%d dials, want at most 2", n)
+	}
+}
+
+// Guards against a server that ends or stalls because of bytes that are not
+// ours, a frame that claims to be huge, a connection that sends nothing, or
+// one that stops in the middle of a frame.
+func TestMalformedInput(t *testing.T) {
+	ln := listen(t, "127.0.0.1:0")
+	s, _ := serve(t, ln, ServerOptions{HeaderTimeout: 100 * time.Millisecond, MessageTimeout: 100 * time.Millisecond})
+	for name, in := range map[string]string{
+		"http":      "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+		"oversized": "\x7f\xff\xff\xff",
+		"over":      "\x00\x12\x00\x01",
+		"empty":     "\x00\x00\x00\x00",
+		"not gob":   "\x00\x00\x00\x05\xff\xfe\xfd\xfc\xfb",
+		"cut off":   "\x00\x00\x10\x00\x01",
+		"silent":    "",
+	} {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, in)
+		_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		// The kernel resets the connection if unread input is left, so a
+		// closed connection shows as EOF or as a reset.
+		var ne net.Error
+		if n, err := conn.Read(make([]byte, 100)); n > 0 || (errors.As(err, &ne) && ne.Timeout()) {
+			t.Errorf("%s: read %d bytes, %v, want a closed connection", name, n, err)
+		}
+		_ = conn.Close()
+	}
+	if n := s.Stats()["messages_malformed"]; n != 5 {
+		t.Errorf("%d malformed messages counted, want 5", n)
+	}
+	p := pool(t, ln.Addr().String(), PoolOptions{})
+	if got, err := say(p, "x", time.Second); got != "x" || err != nil {
+		t.Errorf("call after malformed input: %q, %v", got, err)
+	}
+}
+
+// Guards against sending or accepting messages over the bound, and against a
+// bound below it.
+func TestMessageBound(t *testing.T) {
+	ln := listen(t, "127.0.0.1:0")
+	_, e := serve(t, ln, ServerOptions{})
+	p := pool(t, ln.Addr().String(), PoolOptions{})
+	fits := string(make([]byte, MaxMessageBytes-200))
+	if got, err := say(p, fits, 5*time.Second); got != fits || err != nil {
+		t.Errorf("largest message: %d bytes, %v", len(got), err)
+	}
+	_, err := say(p, string(make([]byte, MaxMessageBytes+1)), 5*time.Second)
+	if !errors.Is(err, ErrTooLarge) || !errors.Is(err, ErrNotSent) || e.ran.Load() != 1 {
+		t.Errorf("oversized message: %v, %d runs", err, e.ran.Load())
+	}
+}
+
+// Guards against a panic of a method that ends the process or breaks the
+// connection, and against errors of methods that look like lost calls.
+func TestMethodFailures(t *testing.T) {
+	ln := listen(t, "127.0.0.1:0")
+	var panicked atomic.Value
+	s, _ := serve(t, ln, ServerOptions{OnPanic: func(m string, v any, stack []byte) { panicked.Store(m) }})
+	p := pool(t, ln.Addr().String(), PoolOptions{})
+	for _, m := range []string{"Echo.Panic", "Echo.Fail", "Echo.Missing", "nonsense"} {
+		var out Text
+		err := p.Call(context.Background(), "a", m, Text{"x"}, &out)
+		if err == nil || errors.Is(err, ErrUnreachable) {
+			t.Errorf("%s: %v, want an error of the other instance", m, err)
+		}
+	}
+	if got, err := say(p, "x", time.Second); got != "x" || err != nil || p.Stats()["dials"] != 1 {
+		t.Errorf("call after a panic: %q, %v, %d dials", got, err, p.Stats()["dials"])
+	}
+	if s.Stats()["panics"] != 1 || panicked.Load() != "Echo.Panic" {
+		t.Errorf("panics: %d, reported %v", s.Stats()["panics"], panicked.Load())
+	}
+}
+
+// Guards against calls that outlast their deadline on a connection that went
+// silent, and against using that connection again although a new one works.
+func TestSilentConnection(t *testing.T) {
+	ln := listen(t, "127.0.0.1:0")
+	serve(t, ln, ServerOptions{})
+	var dials atomic.Int64
+	p := pool(t, ln.Addr().String(), PoolOptions{Dial: func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			conn, other := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, other) }()
+			return conn, nil
+		}
+		return dialTCP(ctx, a)
+	}})
+	start := time.Now()
+	_, err := say(p, "x", 100*time.Millisecond)
+	if !errors.Is(err, ErrUnreachable) || errors.Is(err, ErrNotSent) || time.Since(start) > time.Second {
+		t.Errorf("call on the silent connection: %v after %v", err, time.Since(start))
+	}
+	if got, err := say(p, "y", time.Second); got != "y" || err != nil {
+		t.Errorf("call after it: %q, %v", got, err)
+	}
+}
+
+// Guards against a connection that does not read: the write blocks, and other
+// calls must still end by their deadlines.
+func TestBlockedWrite(t *testing.T) {
+	p := pool(t, "127.0.0.1:1", PoolOptions{Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+		conn, _ := net.Pipe()
+		return conn, nil
+	}})
+	var wg sync.WaitGroup
+	start := time.Now()
+	for range 10 {
+		wg.Go(func() {
+			if _, err := say(p, "x", 100*time.Millisecond); !errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("got %v, want the deadline", err)
+			}
+		})
+	}
+	wg.Wait()
+	if d := time.Since(start); d > time.Second {
+		t.Errorf("calls took %v", d)
+	}
+}
+
+// Guards against a pool that does not recover when the other process was
+// replaced, that hammers an address where nothing listens, or that reports a
+// call as possibly run that was never sent.
+func TestServerReplaced(t *testing.T) {
+	ln := listen(t, "127.0.0.1:0")
+	addr := ln.Addr().String()
+	s, _ := serve(t, ln, ServerOptions{})
+	p := pool(t, addr, PoolOptions{})
+	if _, err := say(p, "x", time.Second); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	waitFor(t, "call reported as not sent", func() bool {
+		_, err := say(p, "x", time.Second)
+		return errors.Is(err, ErrNotSent)
+	})
+	before := p.Stats()["dials"]
+	for end := time.Now().Add(200 * time.Millisecond); time.Now().Before(end); {
+		if _, err := say(p, "x", time.Second); !errors.Is(err, ErrNotSent) {
+			t.Fatalf("call without a server: %v", err)
+		}
+	}
+	if n := p.Stats()["dials"] - before; n > 10 {
+		t.Errorf("%d dials in 200 ms, want backoff", n)
+	}
+	serve(t, listen(t, addr), ServerOptions{})
+	waitFor(t, "call answered by the new server", func() bool {
+		_, err := say(p, "x", time.Second)
+		return err == nil
+	})
+}
+
+// Guards against more connections, or more calls in flight, than allowed, and
+// against a pool that dials without pause while the server is full.
+func TestBounds(t *testing.T) {
+	ln := listen(t, "127.0.0.1:0")
+	s, _ := serve(t, ln, ServerOptions{MaxConns: 1})
+	p := pool(t, ln.Addr().String(), PoolOptions{MaxCallsPerPeer: 3})
+	var wg sync.WaitGroup
+	var busy, done atomic.Int64
+	for range 10 {
+		wg.Go(func() {
+			var out Text
+			err := p.Call(context.Background(), "a", "Echo.Wait", &Waiting{For: 300 * time.Millisecond}, &out)
+			if errors.Is(err, ErrNotSent) {
+				busy.Add(1)
+			} else if err == nil {
+				done.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if busy.Load() != 7 || done.Load() != 3 {
+		t.Errorf("%d refused and %d done, want 7 and 3", busy.Load(), done.Load())
+	}
+	q := pool(t, ln.Addr().String(), PoolOptions{})
+	for end := time.Now().Add(100 * time.Millisecond); time.Now().Before(end); {
+		if _, err := say(q, "x", time.Second); err == nil {
+			t.Fatal("connection over the limit was served")
+		}
+	}
+	if n := q.Stats()["dials"]; n > 8 || s.Stats()["connections_open"] != 1 {
+		t.Errorf("%d dials at a full server, %d connections", n, s.Stats()["connections_open"])
+	}
+}
+
+// Guards against methods that run on after their caller has given up, and
+// against losing the caller's trace.
+func TestCallContext(t *testing.T) {
+	ln := listen(t, "127.0.0.1:0")
+	_, _ = serve(t, ln, ServerOptions{})
+	p := pool(t, ln.Addr().String(), PoolOptions{})
+	id := trace.TraceID{1, 2, 3}
+	sc := trace.NewSpanContext(trace.SpanContextConfig{TraceID: id, SpanID: trace.SpanID{4}, TraceFlags: trace.FlagsSampled})
+	var out Text
+	if err := p.Call(trace.ContextWithSpanContext(context.Background(), sc), "a", "Echo.Trace", &Waiting{}, &out); err != nil || out.S != id.String() {
+		t.Errorf("trace %q, %v, want %v", out.S, err, id)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_ = p.Call(ctx, "a", "Echo.Wait", &Waiting{For: time.Hour}, &out)
+	// The cleanup of serve waits for the method, which would take an hour.
+}
+
+func BenchmarkCall(b *testing.B) {
+	ln := listen(b, "127.0.0.1:0")
+	serve(b, ln, ServerOptions{})
+	p := pool(b, ln.Addr().String(), PoolOptions{})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := say(p, "x", time.Second); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,212 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// PoolOptions bound the connections of a Pool. Zero fields take the default.
+type PoolOptions struct {
+	// MaxConnsPerPeer is how many connections to one instance take new calls.
+	// Default 2, so that a large message delays few others.
+	MaxConnsPerPeer int
+	// MaxCallsPerPeer is how many calls to one instance wait for an answer;
+	// further ones fail as not sent. Default 256.
+	MaxCallsPerPeer int
+	// DialTimeout bounds opening a connection. Default 1 s.
+	DialTimeout time.Duration
+	// DefaultTimeout bounds a call whose context has no deadline. Default 1 s.
+	DefaultTimeout time.Duration
+	// BackoffMin and BackoffMax bound the pause after a failed dial, which
+	// doubles with each failure. Default 20 ms and 1 s.
+	BackoffMin, BackoffMax time.Duration
+	// MaxIdle is the age from which an unused connection is replaced. It is
+	// below the server's idle timeout, so that no call meets its end.
+	// Default 45 s.
+	MaxIdle time.Duration
+	// WriteTimeout bounds writing queued messages to a connection. Default
+	// 5 s.
+	WriteTimeout time.Duration
+	// Dial opens a connection. Default TCP.
+	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+}
+
+func (o *PoolOptions) setDefaults() {
+	setDefault(&o.MaxConnsPerPeer, 2)
+	setDefault(&o.MaxCallsPerPeer, 256)
+	setDefault(&o.DialTimeout, time.Second)
+	setDefault(&o.DefaultTimeout, time.Second)
+	setDefault(&o.BackoffMin, 20*time.Millisecond)
+	setDefault(&o.BackoffMax, time.Second)
+	setDefault(&o.MaxIdle, 45*time.Second)
+	setDefault(&o.WriteTimeout, 5*time.Second)
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+}
+
+func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
+// poolCounters are the counters of a Pool.
+type poolCounters struct {
+	calls, failures, timeouts, busy, dials, dialFailures, silent atomic.Int64
+	bytesIn, bytesOut                                            atomic.Int64
+}
+
+// Pool is a Caller that keeps connections to the instances it calls.
+type Pool struct {
+	opts     PoolOptions
+	resolve  Resolver
+	ctx      context.Context
+	cancel   context.CancelFunc
+	counters poolCounters
+	running  sync.WaitGroup
+
+	mu     sync.Mutex
+	closed bool
+	peers  map[model.InstanceID]*remote
+}
+
+// NewPool returns a Pool that finds instances by resolve.
+func NewPool(resolve Resolver, opts PoolOptions) *Pool {
+	opts.setDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{
+		opts:    opts,
+		resolve: resolve,
+		ctx:     ctx,
+		cancel:  cancel,
+		peers:   map[model.InstanceID]*remote{},
+	}
+}
+
+// Call implements Caller. The reply is set only if Call returns nil: an answer
+// that arrives after the deadline does not touch it.
+func (p *Pool) Call(ctx context.Context, to model.InstanceID, method string, args, reply any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, p.opts.DefaultTimeout)
+		defer cancel()
+	}
+	p.counters.calls.Add(1)
+	sent, err := p.call(ctx, to, method, args, reply)
+	if err == nil || isServerError(err) {
+		return err
+	}
+	p.counters.failures.Add(1)
+	return &callError{to: to, method: method, cause: err, sent: sent}
+}
+
+func (p *Pool) call(ctx context.Context, to model.InstanceID, method string, args, reply any) (sent bool, err error) {
+	r, err := p.remote(to)
+	if err != nil {
+		return false, err
+	}
+	if !r.acquire() {
+		p.counters.busy.Add(1)
+		return false, errors.QuotaLimitExceededf("calls in flight to %s", to)
+	}
+	defer r.release()
+	for {
+		c, err := r.conn(ctx)
+		if err != nil {
+			return false, err
+		}
+		sent, err := c.call(ctx, method, args, reply)
+		if !errors.Is(err, rpc.ErrShutdown) {
+			return sent, err
+		}
+		// The connection broke between its choice and its use.
+		r.retire(c)
+	}
+}
+
+func (p *Pool) remote(to model.InstanceID) (*remote, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errors.ConstError("pool closed")
+	}
+	r := p.peers[to]
+	if r == nil {
+		r = &remote{pool: p, id: to}
+		p.peers[to] = r
+	}
+	return r, nil
+}
+
+// Forget closes the connections to an instance that is gone.
+func (p *Pool) Forget(id model.InstanceID) {
+	p.mu.Lock()
+	r := p.peers[id]
+	delete(p.peers, id)
+	p.mu.Unlock()
+	if r != nil {
+		r.closeAll()
+	}
+}
+
+// Close closes all connections and waits for their goroutines. Calls in flight
+// fail.
+func (p *Pool) Close() {
+	p.cancel()
+	p.mu.Lock()
+	p.closed = true
+	peers := p.peers
+	p.peers = map[model.InstanceID]*remote{}
+	p.mu.Unlock()
+	for _, r := range peers {
+		r.closeAll()
+	}
+	p.running.Wait()
+}
+
+// start runs f in a goroutine that Close waits for. It reports false after
+// Close.
+func (p *Pool) start(f func()) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.running.Go(f)
+	return true
+}
+
+// Stats returns the counters in a form for expvar.Func.
+func (p *Pool) Stats() map[string]int64 {
+	return map[string]int64{
+		"calls":              p.counters.calls.Load(),
+		"calls_failed":       p.counters.failures.Load(),
+		"calls_timed_out":    p.counters.timeouts.Load(),
+		"calls_over_limit":   p.counters.busy.Load(),
+		"dials":              p.counters.dials.Load(),
+		"dials_failed":       p.counters.dialFailures.Load(),
+		"connections_silent": p.counters.silent.Load(),
+		"bytes_in":           p.counters.bytesIn.Load(),
+		"bytes_out":          p.counters.bytesOut.Load(),
+	}
+}
+
+// backoff returns the pause after the given number of failed dials, with
+// jitter over its upper half.
+func (o *PoolOptions) backoff(failures int) time.Duration {
+	d := o.BackoffMax
+	if failures < 16 {
+		d = min(d, o.BackoffMin<<(failures-1))
+	}
+	return d/2 + rand.N(d/2+1)
+}
--- /dev/null
+++ b/internal/peer/remote.go
@@ -0,0 +1,197 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// busyCalls is how many calls wait on each connection before another one is
+// opened. Few calls share one connection, because gob describes its types on
+// each new one.
+const busyCalls = 8
+
+// remote holds a Pool's connections to one instance.
+type remote struct {
+	pool     *Pool
+	id       model.InstanceID
+	inFlight atomic.Int64
+
+	mu       sync.Mutex
+	closed   bool
+	conns    []*clientConn
+	dialing  chan struct{}
+	failures int
+	nextDial time.Time
+	lastErr  error
+}
+
+func (r *remote) acquire() bool {
+	if r.inFlight.Add(1) <= int64(r.pool.opts.MaxCallsPerPeer) {
+		return true
+	}
+	r.inFlight.Add(-1)
+	return false
+}
+
+func (r *remote) release() { r.inFlight.Add(-1) }
+
+// conn returns a connection for one call. It opens one if there is none or if
+// all are busy and another is allowed.
+func (r *remote) conn(ctx context.Context) (*clientConn, error) {
+	for {
+		addr, ok := r.pool.resolve(r.id)
+		if !ok {
+			return nil, errors.NotFoundf("address of instance %s", r.id)
+		}
+		c, wait, err := r.pick(addr)
+		if c != nil || err != nil {
+			return c, err
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// pick returns the least busy connection, or a channel that is closed when
+// the dial in progress ends, or an error while dialing is paused.
+func (r *remote) pick(addr netip.AddrPort) (*clientConn, <-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return nil, nil, errors.ConstError("connections closed")
+	}
+	now := time.Now()
+	r.retireOutdated(addr, now)
+	best := r.leastBusy()
+	if best != nil && (best.pending.Load() < busyCalls || len(r.conns) >= r.pool.opts.MaxConnsPerPeer) {
+		return best, nil, nil
+	}
+	if now.Before(r.nextDial) {
+		if best == nil {
+			return nil, nil, r.lastErr
+		}
+		return best, nil, nil
+	}
+	if r.dialing == nil && !r.startDial(addr) {
+		return nil, nil, errors.ConstError("pool closed")
+	}
+	if best != nil {
+		return best, nil, nil
+	}
+	return nil, r.dialing, nil
+}
+
+func (r *remote) retireOutdated(addr netip.AddrPort, now time.Time) {
+	for _, c := range slices.Clone(r.conns) {
+		if c.addr != addr || c.idleSince(now) > r.pool.opts.MaxIdle {
+			r.retireLocked(c)
+		}
+	}
+}
+
+func (r *remote) leastBusy() *clientConn {
+	var best *clientConn
+	for _, c := range r.conns {
+		if best == nil || c.pending.Load() < best.pending.Load() {
+			best = c
+		}
+	}
+	return best
+}
+
+func (r *remote) startDial(addr netip.AddrPort) bool {
+	done := make(chan struct{})
+	ok := r.pool.start(func() { r.dial(addr, done) })
+	if ok {
+		r.dialing = done
+	}
+	return ok
+}
+
+func (r *remote) dial(addr netip.AddrPort, done chan struct{}) {
+	ctx, cancel := context.WithTimeout(r.pool.ctx, r.pool.opts.DialTimeout)
+	defer cancel()
+	r.pool.counters.dials.Add(1)
+	conn, err := r.pool.opts.Dial(ctx, addr)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dialing = nil
+	defer close(done)
+	if err != nil {
+		r.pool.counters.dialFailures.Add(1)
+		r.failed(err)
+		return
+	}
+	c := newClientConn(r, addr, conn)
+	if r.closed || !c.start() {
+		c.close()
+		return
+	}
+	r.conns = append(r.conns, c)
+}
+
+// failed pauses dialing. The caller holds r.mu.
+func (r *remote) failed(err error) {
+	r.failures++
+	r.lastErr = err
+	r.nextDial = time.Now().Add(r.pool.opts.backoff(r.failures))
+}
+
+// answered is called at the first answer on a connection: only that shows
+// that the instance serves calls and ends the backoff.
+func (r *remote) answered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures = 0
+	r.nextDial = time.Time{}
+}
+
+// retire takes a connection out of use. Its calls in flight may still be
+// answered.
+func (r *remote) retire(c *clientConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retireLocked(c)
+}
+
+func (r *remote) retireLocked(c *clientConn) {
+	if i := slices.Index(r.conns, c); i >= 0 {
+		r.conns = slices.Delete(r.conns, i, i+1)
+	}
+	c.retired.Store(true)
+	c.closeIfDone()
+}
+
+// broken takes a connection out of use that has failed. Without any answer on
+// it, the failure counts like a failed dial: a server over its connection
+// limit closes new connections at once.
+func (r *remote) broken(c *clientConn, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !c.retired.Load() && c.lastRead.Load() == 0 {
+		r.failed(err)
+	}
+	r.retireLocked(c)
+}
+
+func (r *remote) closeAll() {
+	r.mu.Lock()
+	conns := r.conns
+	r.conns = nil
+	r.closed = true
+	r.mu.Unlock()
+	for _, c := range conns {
+		c.close()
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,187 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// ServerOptions bound what other processes can make a Server do. Zero fields
+// take the default.
+type ServerOptions struct {
+	// MaxConns is how many connections are open at once; further ones are
+	// closed at once. Default 256: about ten neighbours with two connections
+	// each, and room for witnesses, loans and reconnecting peers.
+	MaxConns int
+	// MaxCallsPerConn is how many calls of one connection run at once;
+	// further ones wait unread. Default 64.
+	MaxCallsPerConn int
+	// HeaderTimeout is how long a new connection may take to start its first
+	// message. Default 2 s.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may stay without a message.
+	// Default 60 s, longer than any long poll.
+	IdleTimeout time.Duration
+	// MessageTimeout is how long the rest of a message may take after its
+	// first byte, and how long writing one may take. Default 5 s.
+	MessageTimeout time.Duration
+	// OnPanic is called after a method panicked; the call has failed.
+	OnPanic func(method string, value any, stack []byte)
+}
+
+func (o *ServerOptions) setDefaults() {
+	setDefault(&o.MaxConns, 256)
+	setDefault(&o.MaxCallsPerConn, 64)
+	setDefault(&o.HeaderTimeout, 2*time.Second)
+	setDefault(&o.IdleTimeout, time.Minute)
+	setDefault(&o.MessageTimeout, 5*time.Second)
+	if o.OnPanic == nil {
+		o.OnPanic = func(string, any, []byte) {}
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// serverCounters are the counters of a Server.
+type serverCounters struct {
+	accepted, refused, malformed, calls, panics, bytesIn, bytesOut atomic.Int64
+}
+
+// Server answers the calls of other instances.
+type Server struct {
+	opts     ServerOptions
+	rpc      *rpc.Server
+	ctx      context.Context
+	cancel   context.CancelFunc
+	counters serverCounters
+
+	mu        sync.Mutex
+	closed    bool
+	listeners map[net.Listener]struct{}
+	conns     map[*serverConn]struct{}
+	running   sync.WaitGroup
+}
+
+// NewServer returns a Server without methods.
+func NewServer(opts ServerOptions) *Server {
+	opts.setDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		opts:      opts,
+		rpc:       rpc.NewServer(),
+		ctx:       ctx,
+		cancel:    cancel,
+		listeners: map[net.Listener]struct{}{},
+		conns:     map[*serverConn]struct{}{},
+	}
+}
+
+// Register makes the methods of receiver callable as "name.Method", by the
+// rules of net/rpc.
+func (s *Server) Register(name string, receiver any) error {
+	return errors.Annotatef(s.rpc.RegisterName(name, receiver), "registering %s", name)
+}
+
+// Serve accepts connections until the listener or the Server is closed. It
+// returns nil after Close.
+func (s *Server) Serve(ln net.Listener) error {
+	if !s.addListener(ln) {
+		return ln.Close()
+	}
+	for {
+		conn, err := ln.Accept()
+		if err == nil {
+			s.ServeConn(conn)
+			continue
+		}
+		if s.ctx.Err() != nil {
+			return nil
+		}
+		var ne net.Error
+		if !errors.As(err, &ne) || errors.Is(err, net.ErrClosed) {
+			return errors.Annotate(err, "accepting calls")
+		}
+		// Accept also fails when file descriptors run out, which passes.
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (s *Server) addListener(ln net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.listeners[ln] = struct{}{}
+	return true
+}
+
+// ServeConn answers the calls of one connection in the background.
+func (s *Server) ServeConn(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= s.opts.MaxConns {
+		s.counters.refused.Add(1)
+		_ = conn.Close()
+		return
+	}
+	s.counters.accepted.Add(1)
+	c := newServerConn(s, conn)
+	s.conns[c] = struct{}{}
+	s.running.Go(c.serve)
+}
+
+func (s *Server) forget(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// Close closes the listeners and connections, cancels the contexts of running
+// calls and waits for them.
+func (s *Server) Close() {
+	s.cancel()
+	s.mu.Lock()
+	s.closed = true
+	for ln := range s.listeners {
+		_ = ln.Close()
+	}
+	for c := range s.conns {
+		c.close()
+	}
+	s.mu.Unlock()
+	s.running.Wait()
+}
+
+// Stats returns the counters in a form for expvar.Func.
+func (s *Server) Stats() map[string]int64 {
+	s.mu.Lock()
+	open := len(s.conns)
+	s.mu.Unlock()
+	return map[string]int64{
+		"connections_open":     int64(open),
+		"connections_accepted": s.counters.accepted.Load(),
+		"connections_refused":  s.counters.refused.Load(),
+		"messages_malformed":   s.counters.malformed.Load(),
+		"calls":                s.counters.calls.Load(),
+		"panics":               s.counters.panics.Load(),
+		"bytes_in":             s.counters.bytesIn.Load(),
+		"bytes_out":            s.counters.bytesOut.Load(),
+	}
+}
+
+func (s *Server) panicked(method string, value any) {
+	s.counters.panics.Add(1)
+	s.opts.OnPanic(method, value, debug.Stack())
+}
--- /dev/null
+++ b/internal/peer/serverconn.go
@@ -0,0 +1,196 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// serverConn is one connection of a Server.
+type serverConn struct {
+	server *Server
+	conn   net.Conn
+	ctx    context.Context
+	cancel context.CancelFunc
+	in     *frameReader
+	first  bool
+	slots  chan struct{}
+
+	writing sync.Mutex
+	out     *frameEncoder
+}
+
+func newServerConn(s *Server, conn net.Conn) *serverConn {
+	counted := countingConn{conn, &s.counters.bytesIn, &s.counters.bytesOut}
+	ctx, cancel := context.WithCancel(s.ctx)
+	return &serverConn{
+		server: s,
+		conn:   counted,
+		ctx:    ctx,
+		cancel: cancel,
+		in:     newFrameReader(counted),
+		first:  true,
+		slots:  make(chan struct{}, s.opts.MaxCallsPerConn),
+		out:    newFrameEncoder(),
+	}
+}
+
+func (c *serverConn) close() {
+	c.cancel()
+	_ = c.conn.Close()
+}
+
+// serve reads calls one after the other. Each call runs in the goroutine that
+// read it, by rpc.Server.ServeRequest, so that a panic of the method can be
+// recovered there; rpc.Server.ServeCodec would end the process.
+func (c *serverConn) serve() {
+	defer c.server.forget(c)
+	defer c.close()
+	for {
+		select {
+		case c.slots <- struct{}{}:
+		case <-c.ctx.Done():
+			return
+		}
+		call := &serverCall{conn: c, wasRead: make(chan bool, 1)}
+		c.server.running.Go(call.run)
+		if !<-call.wasRead {
+			return
+		}
+	}
+}
+
+// readFrame reads the next frame.
+func (c *serverConn) readFrame() error {
+	idle := c.server.opts.IdleTimeout
+	if c.first {
+		idle = c.server.opts.HeaderTimeout
+	}
+	err := c.in.next(idle, c.server.opts.MessageTimeout)
+	c.first = false
+	if errors.Is(err, ErrTooLarge) {
+		c.server.counters.malformed.Add(1)
+	}
+	return err
+}
+
+// write sends one response. After an error the connection is closed.
+func (c *serverConn) write(head responseHeader, body any) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	frame, err := c.out.encode(head, body)
+	if err == nil {
+		_ = c.conn.SetWriteDeadline(time.Now().Add(c.server.opts.MessageTimeout))
+		_, err = c.conn.Write(frame)
+	}
+	if err != nil {
+		c.close()
+	}
+	return err
+}
+
+// serverCall is the rpc.ServerCodec of a single call.
+type serverCall struct {
+	conn    *serverConn
+	head    requestHeader
+	wasRead chan bool
+	passed  bool
+	cancel  context.CancelFunc
+	span    trace.Span
+}
+
+func (s *serverCall) run() {
+	defer func() { <-s.conn.slots }()
+	defer s.end()
+	defer s.recoverPanic()
+	_ = s.conn.server.rpc.ServeRequest(s)
+}
+
+func (s *serverCall) recoverPanic() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	s.conn.server.panicked(s.head.Method, value)
+	failure := responseHeader{Seq: s.head.Seq, Error: fmt.Sprintf("%s panicked", s.head.Method)}
+	_ = s.conn.write(failure, struct{}{})
+}
+
+func (s *serverCall) end() {
+	s.pass(false)
+	if s.cancel != nil {
+		s.cancel()
+	}
+	if s.span != nil {
+		s.span.End()
+	}
+}
+
+// pass lets the next call read from the connection, or none if the stream is
+// unusable.
+func (s *serverCall) pass(usable bool) {
+	if s.passed {
+		return
+	}
+	s.passed = true
+	s.wasRead <- usable
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (s *serverCall) ReadRequestHeader(r *rpc.Request) error {
+	if err := s.conn.readFrame(); err != nil {
+		return io.EOF
+	}
+	if err := s.conn.in.dec.Decode(&s.head); err != nil {
+		s.conn.server.counters.malformed.Add(1)
+		return io.EOF
+	}
+	r.ServiceMethod = s.head.Method
+	r.Seq = s.head.Seq
+	return nil
+}
+
+// ReadRequestBody implements rpc.ServerCodec. A nil body discards the
+// arguments of an unknown method.
+func (s *serverCall) ReadRequestBody(body any) error {
+	if err := s.conn.in.dec.Decode(body); err != nil {
+		s.conn.server.counters.malformed.Add(1)
+		return errors.Annotate(err, "decoding arguments")
+	}
+	s.conn.server.counters.calls.Add(1)
+	s.setContext(body)
+	s.pass(true)
+	return nil
+}
+
+func (s *serverCall) setContext(body any) {
+	receiver, ok := body.(ContextReceiver)
+	if !ok && s.head.Traceparent == "" {
+		return
+	}
+	ctx := s.conn.ctx
+	if s.head.TimeoutMS > 0 {
+		ctx, s.cancel = context.WithTimeout(ctx, time.Duration(s.head.TimeoutMS)*time.Millisecond)
+	}
+	if s.head.Traceparent != "" {
+		ctx, s.span = startServerSpan(ctx, s.head.Method, s.head.Traceparent)
+	}
+	if ok {
+		receiver.SetCallContext(ctx)
+	}
+}
+
+// WriteResponse implements rpc.ServerCodec.
+func (s *serverCall) WriteResponse(r *rpc.Response, body any) error {
+	return s.conn.write(responseHeader{Seq: r.Seq, Error: r.Error}, body)
+}
+
+// Close implements rpc.ServerCodec. ServeRequest does not call it.
+func (s *serverCall) Close() error { return nil }
--- /dev/null
+++ b/internal/peer/trace.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const (
+	tracerName        = "jujubestile.example/jujubestile/internal/peer"
+	traceparentHeader = "traceparent"
+)
+
+// traceparent returns the context's span in the form of W3C Trace Context, or
+// an empty string without a sampled span.
+func traceparent(ctx context.Context) string {
+	if !trace.SpanContextFromContext(ctx).IsSampled() {
+		return ""
+	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier[traceparentHeader]
+}
+
+// startServerSpan starts the span of a call that was received.
+func startServerSpan(ctx context.Context, method, parent string) (context.Context, trace.Span) {
+	carrier := propagation.MapCarrier{traceparentHeader: parent}
+	ctx = propagation.TraceContext{}.Extract(ctx, carrier)
+	return otel.Tracer(tracerName).Start(ctx, method, trace.WithSpanKind(trace.SpanKindServer))
+}
