--- /dev/null
+++ b/internal/configsync/confirm.go
@@ -0,0 +1,78 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+)
+
+// confirm gives the written document to the relays until more than half have
+// it in force and none has another branch. If it forked from another one,
+// a relay issues one of the two again; the store then shows which was
+// overruled.
+func (e *Editor) confirm(ctx context.Context, r Request, doc Document) Result {
+	for failures := 0; ; failures++ {
+		detail := e.offer(ctx, doc)
+		if detail == "" {
+			e.keepHistory(ctx, doc)
+			return Result{Outcome: Accepted, Head: doc.headOf(r)}
+		}
+		if e.wait(ctx, failures) != nil {
+			return Result{Outcome: Unknown, Head: doc.Head, Detail: detail}
+		}
+		_, current, err := read(ctx, e.Store)
+		if err != nil {
+			continue
+		}
+		switch current.fateOf(r.EditID) {
+		case fateContained:
+			doc = current
+		case fateOverruled:
+			return *e.conflict(ctx, r, current)
+		}
+	}
+}
+
+// offer puts the document in force at the relays. It returns what keeps the
+// document from being accepted, or "". An instance that is no relay takes the
+// document last, as it would not give up one that is overruled later.
+func (e *Editor) offer(ctx context.Context, doc Document) string {
+	if e.IsRelay() {
+		if v, err := e.State.Take(doc); err != nil || v == Refused {
+			return fmt.Sprintf("revision %d forked from the one in force at this instance", doc.Revision)
+		}
+	}
+	answers, asked := e.Fleet.Offer(ctx, doc)
+	confirmed := 0
+	for _, a := range answers {
+		switch r := a.Head.relate(doc.Head); {
+		case r == forked || r == newer && a.Head.fateOf(doc.EditID) == fateOverruled:
+			return fmt.Sprintf("revision %d forked from the one in force at %s", doc.Revision, a.From)
+		case r == same || r == newer:
+			confirmed++
+		}
+	}
+	if n, all := e.count(confirmed, asked); 2*n <= all {
+		return fmt.Sprintf("revision %d is in the store, but only %d of %d relays confirm it", doc.Revision, n, all)
+	}
+	// The relays decide. A fork at this instance alone ends with the next
+	// document.
+	if _, err := e.State.Take(doc); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+// headOf returns the head of the newest document that an edit made. Later
+// edits may already be built on it.
+func (h Head) headOf(r Request) Head {
+	if h.EditID == r.EditID {
+		return h
+	}
+	own := Head{EditID: r.EditID, Author: r.Author}
+	for _, a := range h.Lineage {
+		if a.EditID == r.EditID && !a.Overruled {
+			own.Revision = a.Revision
+		}
+	}
+	return own
+}
--- /dev/null
+++ b/internal/configsync/fleet.go
@@ -0,0 +1,197 @@
+package configsync
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/peer"
+	"jujubestile.example/jujubestile/internal/rules"
+)
+
+// peerTimeout bounds one call to another instance.
+const peerTimeout = time.Second
+
+// Answer is what one relay has in force.
+type Answer struct {
+	From model.InstanceID
+	Head Head
+}
+
+// Fleet asks the relays. A relay that is not yet informed does not answer; one
+// that knows that there is no document answers with revision 0. This instance is not among those asked.
+type Fleet interface {
+	// Heads returns what the relays that answer have in force, and how many
+	// were asked.
+	Heads(ctx context.Context) (answers []Answer, asked int)
+	// Offer gives the relays a document and returns what those that answer
+	// have in force after it.
+	Offer(ctx context.Context, d Document) (answers []Answer, asked int)
+	// Fetch returns the document in force at an instance.
+	Fetch(ctx context.Context, from model.InstanceID) (Document, error)
+}
+
+// ServiceName is the name under which Service is registered with net/rpc.
+const ServiceName = "Rules"
+
+// Service answers other instances. Its methods have the form that net/rpc
+// needs.
+type Service struct {
+	state *State
+}
+
+// NewService returns the service of one instance.
+func NewService(s *State) *Service { return &Service{state: s} }
+
+// FetchArgs are the arguments of Service.Fetch.
+type FetchArgs struct {
+	// HeadOnly leaves out the text.
+	HeadOnly bool
+}
+
+// Reply holds the document in force, without its text where not asked for.
+// Document is the JSON form, which the store's bound on values also bounds.
+type Reply struct {
+	Document []byte
+	Hash     Hash
+}
+
+// Fetch returns the document in force.
+func (s *Service) Fetch(args FetchArgs, reply *Reply) error {
+	return s.reply(args.HeadOnly, reply)
+}
+
+// OfferArgs are the arguments of Service.Offer.
+type OfferArgs struct {
+	Document []byte
+}
+
+// Offer puts the document in force if it is newer than the present one and
+// descends from it, and returns the head of what is in force afterwards.
+func (s *Service) Offer(args OfferArgs, reply *Reply) error {
+	d, err := Decode(args.Document)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if !s.state.Informed() {
+		return errors.NotYetAvailablef("rules document")
+	}
+	if _, err := s.state.Take(d); err != nil {
+		return errors.Trace(err)
+	}
+	return s.reply(true, reply)
+}
+
+func (s *Service) reply(headOnly bool, reply *Reply) error {
+	d := s.state.Document()
+	if !s.state.Informed() || d.Revision == 0 && !headOnly {
+		return errors.NotYetAvailablef("rules document")
+	}
+	reply.Hash = d.Hash
+	if headOnly {
+		d.Text = ""
+	}
+	var err error
+	reply.Document, err = d.Encode()
+	return errors.Trace(err)
+}
+
+// PeerFleet is the Fleet behind the calls between instances.
+type PeerFleet struct {
+	// Caller reaches other instances.
+	Caller peer.Caller
+	// Relays lists the live relays of all regions.
+	Relays func() []model.InstanceID
+	// Self is left out of those asked.
+	Self model.InstanceID
+}
+
+var _ Fleet = (*PeerFleet)(nil)
+
+// Heads implements Fleet.
+func (f *PeerFleet) Heads(ctx context.Context) ([]Answer, int) {
+	return f.each(ctx, "Fetch", FetchArgs{HeadOnly: true})
+}
+
+// Offer implements Fleet.
+func (f *PeerFleet) Offer(ctx context.Context, d Document) ([]Answer, int) {
+	b, err := d.Encode()
+	if err != nil {
+		return nil, len(f.others())
+	}
+	return f.each(ctx, "Offer", OfferArgs{Document: b})
+}
+
+// Fetch implements Fleet.
+func (f *PeerFleet) Fetch(ctx context.Context, from model.InstanceID) (Document, error) {
+	var r Reply
+	if err := f.call(ctx, from, "Fetch", FetchArgs{}, &r); err != nil {
+		return Document{}, errors.Trace(err)
+	}
+	d, err := Decode(r.Document)
+	if err == nil && d.Hash != r.Hash {
+		err = errors.Annotate(ErrMalformed, "hash")
+	}
+	return d, errors.Trace(err)
+}
+
+func (f *PeerFleet) others() []model.InstanceID {
+	return slices.DeleteFunc(slices.Clone(f.Relays()), func(id model.InstanceID) bool { return id == f.Self })
+}
+
+func (f *PeerFleet) call(ctx context.Context, to model.InstanceID, method string, args any, r *Reply) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return f.Caller.Call(ctx, to, ServiceName+"."+method, args, r)
+}
+
+// each calls all other relays at once.
+func (f *PeerFleet) each(ctx context.Context, method string, args any) ([]Answer, int) {
+	others := f.others()
+	var (
+		wg      sync.WaitGroup
+		mu      sync.Mutex
+		answers []Answer
+	)
+	for _, id := range others {
+		wg.Go(func() {
+			var r Reply
+			if f.call(ctx, id, method, args, &r) != nil {
+				return
+			}
+			h, err := r.head()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, Answer{From: id, Head: h})
+		})
+	}
+	wg.Wait()
+	return answers, len(others)
+}
+
+// head reads a reply without text.
+func (r Reply) head() (Head, error) {
+	var d Document
+	if len(r.Document) > maxHeadBytes {
+		return Head{}, errors.Annotatef(ErrMalformed, "head of %d bytes", len(r.Document))
+	}
+	if err := json.Unmarshal(r.Document, &d); err != nil {
+		return Head{}, errors.Annotate(ErrMalformed, err.Error())
+	}
+	if d.Revision == 0 {
+		return Head{}, nil
+	}
+	d.Hash = r.Hash
+	return d.Head, d.check()
+}
+
+// maxHeadBytes bounds a document without its text.
+const maxHeadBytes = rules.EnvelopeBytes
--- a/internal/rules/delta.go
+++ b/internal/rules/delta.go
@@ -54,10 +54,23 @@
 // Apply returns the new text, or ErrDeltaMismatch unless it is exactly the
 // text that the delta was computed for.
 func (d Delta) Apply(from string) (string, error) {
+	text, err := ApplyEdits(from, d.Edits)
+	if err != nil {
+		return "", err
+	}
+	if sha256.Sum256([]byte(text)) != d.Hash {
+		return "", errors.Annotate(ErrDeltaMismatch, "hash of the result")
+	}
+	return text, nil
+}
+
+// ApplyEdits applies edits without a check of the result, for callers that
+// check a hash of their own. Edits outside the text are ErrDeltaMismatch.
+func ApplyEdits(from string, edits []LineEdit) (string, error) {
 	old := strings.Split(from, "\n")
 	var lines []string
 	next := 0
-	for _, e := range d.Edits {
+	for _, e := range edits {
 		if e.At < next || e.Remove < 0 || e.At > len(old) || e.Remove > len(old)-e.At {
 			return "", errors.Annotatef(ErrDeltaMismatch, "edit at line %d of %d", e.At+1, len(old))
 		}
@@ -66,11 +79,7 @@
 		next = e.At + e.Remove
 	}
 	lines = append(lines, old[next:]...)
-	text := strings.Join(lines, "\n")
-	if sha256.Sum256([]byte(text)) != d.Hash {
-		return "", errors.Annotate(ErrDeltaMismatch, "hash of the result")
-	}
-	return text, nil
+	return strings.Join(lines, "\n"), nil
 }
 
 // lineEdits matches the lines that occur exactly once in both texts and then
