--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -33,6 +33,7 @@
 type endpoint struct {
 	model.Endpoint
 	pool     *pool
+	hash     uint64 // rendezvous hash with the instance
 	inSubset bool
 	gone     bool
 
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -145,12 +145,14 @@
 // sortByHash orders endpoints by the rendezvous hash with the instance: each
 // instance gets its own order, which changes little when the list changes.
 func (b *Balancer) sortByHash(es []*endpoint) {
-	hash := make(map[*endpoint]uint64, len(es))
 	for _, e := range es {
-		hash[e] = rendezvous(b.cfg.Instance, e.ID)
+		e.hash = rendezvous(b.cfg.Instance, e.ID)
 	}
 	slices.SortFunc(es, func(x, y *endpoint) int {
-		return cmp.Or(cmp.Compare(hash[x], hash[y]), cmp.Compare(x.ID, y.ID))
+		if x.hash != y.hash {
+			return cmp.Compare(x.hash, y.hash)
+		}
+		return cmp.Compare(x.ID, y.ID)
 	})
 }
 
