--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -54,6 +54,15 @@
 	return true
 }
 
+// Repeated counts a request that its caller repeats. It takes a token like a
+// retry of ours, so that the budgets of callers and instances do not multiply.
+// The caller's repetition is never refused for it; the debt is bounded.
+func (b *Budget) Repeated() {
+	b.mu.Lock()
+	b.saved = max(b.saved-costPerRetry, -maxSaved)
+	b.mu.Unlock()
+}
+
 // Refund returns the token of an attempt that was not made.
 func (b *Budget) Refund() {
 	b.mu.Lock()
