--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -87,7 +87,11 @@
 		ctx = limited
 	}
 	x := exchange{d: d, r: r, claim: claim, policy: d.cfg.Retry.Service(r.Service)}
-	x.policy.Budget.Deposit()
+	if r.Attempt > 0 {
+		x.policy.Budget.Repeated()
+	} else {
+		x.policy.Budget.Deposit()
+	}
 	return x.run(ctx)
 }
 
--- a/internal/dispatch/transport.go
+++ b/internal/dispatch/transport.go
@@ -31,6 +31,8 @@
 	Repeatable bool
 	// Key is the caller's Idempotency-Key, or empty.
 	Key string
+	// Attempt is the caller's own count of repetitions, 0 for the first try.
+	Attempt int
 	// Method, Path (with the query), Header and Body are what the endpoint
 	// gets.
 	Method string
