--- /dev/null
+++ b/internal/policytest/world.go
@@ -0,0 +1,365 @@
+package policytest
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"jujubestile.example/jujubestile/internal/admission"
+	"jujubestile.example/jujubestile/internal/balance"
+	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/retry"
+)
+
+const (
+	service      = model.Service("lists")
+	instances    = 20
+	meanWork     = 50 * time.Millisecond
+	workSigma    = 0.4 // of the logarithm of the service time
+	intentTime   = time.Millisecond
+	naiveLimit   = 3 // slots an instance of the baseline: 60 on 48
+	callerRetry  = 3 // most attempts of a caller
+	callerBudget = 0.1
+)
+
+// patience is how long a caller waits in all.
+var patience = map[model.Priority]time.Duration{
+	model.PriorityCritical: 2 * time.Second,
+	model.PriorityNormal:   2 * time.Second,
+	model.PriorityBulk:     4 * time.Second,
+}
+
+// doer is a Dispatcher or the baseline.
+type doer interface {
+	Do(ctx context.Context, r *dispatch.Request, c dispatch.Claim) dispatch.Result
+}
+
+// load is an offered load of one priority, as a fraction of capacity.
+type load struct {
+	priority model.Priority
+	fraction float64
+	from, to time.Duration
+}
+
+// event changes the world at a time after the start.
+type event struct {
+	at time.Duration
+	do func(w *world)
+}
+
+// scenario is one run.
+type scenario struct {
+	name    string
+	regions []model.Region
+	loads   []load
+	events  []event
+	// prepare runs before the start.
+	prepare func(w *world)
+	// from and to enclose the measured time.
+	from, to time.Duration
+	minimum  map[model.Priority]float64
+	// affected are the endpoints whose avoidance is measured from avoidFrom.
+	affected  func(e *endpoint) bool
+	avoidFrom time.Duration
+}
+
+// world is one run's state.
+type world struct {
+	s         scenario
+	naive     bool
+	start     time.Time
+	order     []*endpoint
+	endpoints map[model.EndpointID]*endpoint
+	nodes     []*node
+	sends     atomic.Int64
+	callers   sync.WaitGroup
+
+	mu      sync.Mutex
+	calls   []call
+	tokens  float64 // the callers' retry budget
+	repeats int
+}
+
+// node is one entry instance.
+type node struct {
+	id       model.InstanceID
+	do       doer
+	balancer *balance.Balancer
+	naive    *naive
+	product  *dispatch.Dispatcher
+}
+
+// call is what one caller experienced.
+type call struct {
+	at       time.Duration
+	priority model.Priority
+	work     time.Duration
+	latency  time.Duration
+	ok       bool
+}
+
+func newWorld(s scenario, isNaive bool) *world {
+	if len(s.regions) == 0 {
+		s.regions = []model.Region{"lagos"}
+	}
+	w := &world{s: s, naive: isNaive, start: time.Now(), endpoints: map[model.EndpointID]*endpoint{}}
+	w.addEndpoints()
+	w.addNodes()
+	w.setEndpoints(w.list())
+	return w
+}
+
+func (w *world) addEndpoints() {
+	for i := range 12 {
+		region := w.s.regions[i%len(w.s.regions)]
+		domain := fmt.Sprintf("%s-%c", region, 'a'+rune(i/len(w.s.regions)%2))
+		e := &endpoint{
+			Endpoint: model.Endpoint{
+				ID:      model.EndpointID(fmt.Sprintf("lists-%d", i)),
+				Service: service, Region: region, Domain: model.Domain(domain), Slots: 3 + i/3%3,
+			},
+			silent: map[model.InstanceID]bool{},
+			busy:   map[model.Priority]time.Duration{},
+		}
+		w.order = append(w.order, e)
+		w.endpoints[e.ID] = e
+	}
+}
+
+func (w *world) addNodes() {
+	all := &slots{order: w.s.regions, size: map[model.Region]int{}, free: map[model.Region]int{}}
+	for _, e := range w.order {
+		all.size[e.Region] += e.Slots
+		all.free[e.Region] += e.Slots
+	}
+	for i := range instances {
+		region := w.s.regions[i%len(w.s.regions)]
+		id := model.InstanceID(fmt.Sprintf("%s-%d", region, i))
+		domain := model.Domain(fmt.Sprintf("%s-%c", region, 'a'+rune(i/len(w.s.regions)%2)))
+		t := &transport{world: w, id: id, region: region, domain: domain}
+		w.nodes = append(w.nodes, w.newNode(i, id, t, all.add(region)))
+	}
+}
+
+func (w *world) newNode(i int, id model.InstanceID, t *transport, r *router) *node {
+	rnd := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(i), n)) }
+	if w.naive {
+		n := &naive{transport: t, rnd: rnd(1), free: naiveLimit}
+		return &node{id: id, do: n, naive: n}
+	}
+	b := balance.New(balance.Config{Instance: id, Rand: rnd(1)})
+	b.SetInstances(w.start, instances)
+	a := admission.New(r)
+	a.SetMinimum(w.s.minimum)
+	d := dispatch.New(dispatch.Config{
+		Region: t.region, Admission: a, Balancer: b, Transport: t, Retry: retry.NewPolicy(rnd(2)),
+	})
+	return &node{id: id, do: d, balancer: b, product: d}
+}
+
+func (w *world) list() []model.Endpoint {
+	var l []model.Endpoint
+	for _, e := range w.order {
+		l = append(l, e.Endpoint)
+	}
+	return l
+}
+
+func (n *node) setEndpoints(l []model.Endpoint) {
+	if n.naive != nil {
+		n.naive.setEndpoints(l)
+		return
+	}
+	n.balancer.SetEndpoints(time.Now(), l)
+}
+
+func (w *world) setEndpoints(l []model.Endpoint) {
+	for _, n := range w.nodes {
+		n.setEndpoints(l)
+	}
+}
+
+// change changes all endpoints.
+func (w *world) change(f func(*endpoint)) {
+	for _, e := range w.order {
+		e.mu.Lock()
+		f(e)
+		e.mu.Unlock()
+	}
+}
+
+// capacity is the requests a second of all endpoints at the mean service time.
+func (w *world) capacity() float64 {
+	n := 0
+	for _, e := range w.order {
+		n += e.Slots
+	}
+	return float64(n) / meanWork.Seconds()
+}
+
+// run plays the scenario and returns when all callers have ended.
+func (w *world) run() {
+	ctx, stop := context.WithCancel(context.Background())
+	if w.s.prepare != nil {
+		w.s.prepare(w)
+	}
+	for _, e := range w.s.events {
+		time.AfterFunc(e.at, func() { e.do(w) })
+	}
+	go w.sampleLoads(ctx)
+	for i, l := range w.s.loads {
+		w.callers.Add(1)
+		go w.offer(l, rand.New(rand.NewPCG(uint64(i), 7)))
+	}
+	w.callers.Wait()
+	stop()
+	for _, n := range w.nodes {
+		if n.product != nil {
+			n.product.Wait()
+		}
+	}
+	time.Sleep(headerTimeout + 5*time.Second) // slots that return later
+}
+
+func (w *world) sampleLoads(ctx context.Context) {
+	for sleep(ctx, reportLag) {
+		for _, e := range w.order {
+			e.sample()
+		}
+	}
+}
+
+// offer starts callers with exponential pauses.
+func (w *world) offer(l load, rnd *rand.Rand) {
+	defer w.callers.Done()
+	time.Sleep(l.from)
+	rate := l.fraction * w.capacity()
+	for {
+		time.Sleep(time.Duration(rnd.ExpFloat64() / rate * float64(time.Second)))
+		if time.Since(w.start) >= l.to {
+			return
+		}
+		w.callers.Add(1)
+		go w.call(l.priority, work(rnd), rnd.IntN(instances), rnd.Float64())
+	}
+}
+
+// work draws a lognormal service time with the mean meanWork.
+func work(rnd *rand.Rand) time.Duration {
+	f := math.Exp(workSigma*rnd.NormFloat64() - workSigma*workSigma/2)
+	return time.Duration(f * float64(meanWork))
+}
+
+// claim is a dispatch.Claim whose intent takes one round trip.
+type claim struct{}
+
+func (claim) Intent(ctx context.Context) error {
+	sleep(ctx, intentTime)
+	return ctx.Err()
+}
+
+// call is one caller. Half of the priority 1 work may not be repeated.
+func (w *world) call(p model.Priority, work time.Duration, at int, u float64) {
+	defer w.callers.Done()
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), patience[p])
+	defer cancel()
+	w.deposit()
+	r := &dispatch.Request{
+		Service: service, Priority: p, Method: http.MethodGet,
+		Repeatable: p != model.PriorityCritical || u < 0.5,
+		Path:       "/" + strconv.Itoa(int(work)),
+	}
+	var res dispatch.Result
+	for n := range callerRetry {
+		r.Attempt = n
+		res = w.nodes[(at+n)%instances].do.Do(ctx, r, claim{})
+		if !w.again(ctx, r, res) {
+			break
+		}
+	}
+	w.record(call{
+		at: begin.Sub(w.start), priority: p, work: work, latency: time.Since(begin),
+		ok: res.Outcome == model.OutcomeAnswered && res.Response.Status < 500,
+	})
+}
+
+// again reports whether a caller repeats a request that was not run. Callers
+// of the product obey Retry-After and a budget; those of the baseline repeat
+// whatever is safe after 10 ms.
+func (w *world) again(ctx context.Context, r *dispatch.Request, res dispatch.Result) bool {
+	if ctx.Err() != nil || res.Outcome == model.OutcomeAnswered {
+		return false
+	}
+	if res.Outcome == model.OutcomeUnknown && !r.Repeatable {
+		return false
+	}
+	if w.naive {
+		return sleep(ctx, 10*time.Millisecond)
+	}
+	left, _ := ctx.Deadline()
+	if time.Until(left) <= res.RetryAfter || !w.withdraw() {
+		return false
+	}
+	return sleep(ctx, max(res.RetryAfter, 10*time.Millisecond))
+}
+
+func (w *world) deposit() {
+	w.mu.Lock()
+	w.tokens = min(w.tokens+callerBudget, 50)
+	w.mu.Unlock()
+}
+
+func (w *world) withdraw() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.tokens < 1 {
+		return false
+	}
+	w.tokens--
+	w.repeats++
+	return true
+}
+
+func (w *world) record(c call) {
+	w.mu.Lock()
+	w.calls = append(w.calls, c)
+	w.mu.Unlock()
+}
+
+// byPriority is what callers of one priority experienced.
+type byPriority struct {
+	offered, ok int
+	p50, p99    time.Duration
+	work        time.Duration // service time of answered requests
+}
+
+func (w *world) results(p model.Priority) byPriority {
+	var r byPriority
+	var ls []time.Duration
+	for _, c := range w.calls {
+		if c.priority != p || c.at < w.s.from || c.at >= w.s.to {
+			continue
+		}
+		r.offered++
+		if c.ok {
+			r.ok++
+			r.work += c.work
+			ls = append(ls, c.latency)
+		}
+	}
+	slices.Sort(ls)
+	if len(ls) > 0 {
+		r.p50 = ls[len(ls)/2]
+		r.p99 = ls[min(len(ls)-1, len(ls)*99/100)]
+	}
+	return r
+}
