--- a/internal/policytest/endpoint.go
+++ b/internal/policytest/endpoint.go
@@ -59,23 +59,22 @@
 	refusing  bool    // refuses connections
 	lost      bool    // answers nothing at all
 	failing   bool    // answers 503 without Retry-After at once
+	shedding  bool    // refuses all work
 	silent    map[model.InstanceID]bool
-	arrived   int
-	arrivals  []time.Time
+	attempts  []time.Time
+	from, to  time.Time // encloses what busy counts
 	busy      map[model.Priority]time.Duration
 }
 
 // enter waits for a slot. It reports false if the queue is full.
 func (e *endpoint) enter(ctx context.Context) (bool, error) {
 	e.mu.Lock()
-	e.arrived++
-	e.arrivals = append(e.arrivals, time.Now())
-	if e.running < e.Slots {
+	if e.running < e.Slots && !e.shedding {
 		e.running++
 		e.mu.Unlock()
 		return true, nil
 	}
-	if len(e.queue) >= 2*e.Slots {
+	if e.shedding || len(e.queue) >= 2*e.Slots {
 		e.mu.Unlock()
 		return false, nil
 	}
@@ -153,10 +152,18 @@
 	return time.Duration(f * float64(work))
 }
 
-func (e *endpoint) account(p model.Priority, d time.Duration) {
+// account counts slot time that ends at the given time.
+func (e *endpoint) account(p model.Priority, d time.Duration, end time.Time) {
+	begin := end.Add(-d)
+	if begin.Before(e.from) {
+		begin = e.from
+	}
+	if end.After(e.to) {
+		end = e.to
+	}
 	e.mu.Lock()
-	e.busy[p] += d
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	e.busy[p] += max(0, end.Sub(begin))
 }
 
 func (e *endpoint) isLost() bool {
@@ -190,6 +197,7 @@
 	e := t.world.endpoints[to.ID]
 	oneWay := t.oneWay(e)
 	e.mu.Lock()
+	e.attempts = append(e.attempts, time.Now())
 	lost, refusing, failing := e.lost, e.refusing, e.failing
 	silent := e.silent[t.id] && r.Repeatable
 	e.mu.Unlock()
@@ -238,12 +246,11 @@
 	work := e.serviceTime(workOf(r))
 	start := time.Now()
 	if !sleep(ctx, work) {
-		ran := min(time.Since(start)+oneWay, work)
 		time.AfterFunc(oneWay, e.exit)
-		e.account(r.Priority, ran)
+		e.account(r.Priority, time.Since(start)+oneWay, time.Now().Add(oneWay))
 		return nil, dispatch.ErrInterrupted
 	}
-	e.account(r.Priority, work)
+	e.account(r.Priority, work, time.Now())
 	e.mu.Lock()
 	e.exitLocked()
 	h := http.Header{}
--- a/internal/policytest/policy_test.go
+++ b/internal/policytest/policy_test.go
@@ -55,9 +55,19 @@
 	}
 }
 
-func TestPolicySteadyReports(t *testing.T) {
+func within(t *testing.T, what string, got, low, high float64) {
+	t.Helper()
+	if got < low || got > high {
+		t.Errorf("%s: %.3f, want %.3f to %.3f", what, got, low, high)
+	}
+}
+
+// Guards against reports that mislead: late ones, and slow endpoints that claim
+// to be idle.
+func TestPolicyReports(t *testing.T) {
 	s := base("steady")
-	both(t, s)
+	_, p := both(t, s)
+	within(t, "critical work answered", p.answered(1), 0.999, 1)
 	s.name = "steady-late-and-idle-reports"
 	s.prepare = func(w *world) {
 		for i, e := range w.order {
@@ -70,25 +80,148 @@
 	both(t, s)
 }
 
+// Guards the target that urgent work under a bulk overload of 10 x capacity
+// stays within 5 % of its p99 and share without one.
 func TestPolicyBulkFlood(t *testing.T) {
+	none := measure(t, base("bulk-flood-none"), false)
 	s := base("bulk-flood")
-	without := measure(t, base("bulk-flood-none"), false)
 	s.loads = append(mix(), load{model.PriorityBulk, 10, warm - second, endOfLoad})
-	_, with := both(t, s)
-	_ = without
-	_ = with
+	_, flood := both(t, s)
+	within(t, "critical p99 to that without a flood", ms(flood.by[1].p99)/ms(none.by[1].p99), 0, 1.05)
+	within(t, "critical share to that without a flood", flood.share[1]/none.share[1], 0.95, 1.05)
+	within(t, "critical work answered", flood.answered(1), 0.999, 1)
 }
 
+// Guards the target of a goodput of at least 95 % of capacity under an overload
+// of urgent work of 5 x capacity, and the minimum shares of other work.
 func TestPolicyCriticalFlood(t *testing.T) {
 	s := base("critical-flood")
 	s.loads = append(mix(), load{model.PriorityCritical, 5, warm - second, endOfLoad})
-	both(t, s)
+	_, p := both(t, s)
+	within(t, "goodput", p.goodput, 0.95, 2)
+	within(t, "share of normal work", p.share[2], 0.05, 1)
+	within(t, "share of bulk work", p.share[3], 0.05, 1)
 }
 
+// Guards the target of at most 1.1 attempts per request when a service is
+// failing, callers' repetitions included.
 func TestPolicyFailing(t *testing.T) {
-	s := base("failing-503")
+	for name, f := range map[string]func(*endpoint){
+		"failing-503":     func(e *endpoint) { e.failing = true },
+		"failing-refuses": func(e *endpoint) { e.refusing = true },
+	} {
+		s := base(name)
+		s.loads = []load{{model.PriorityCritical, 0.2, 0, endOfLoad}, {model.PriorityNormal, 0.3, 0, endOfLoad}}
+		s.prepare = func(w *world) { w.change(f) }
+		_, p := both(t, s)
+		within(t, "attempts", p.attempts, 0, 1.1)
+	}
+}
+
+// Guards against new work for leaving endpoints (P6): the list reaches the
+// instances over 2 s, and later an older list without the mark arrives.
+func TestPolicyDrain(t *testing.T) {
+	s := base("drain")
+	s.avoidFrom = warm
+	s.affected = func(e *endpoint) bool { return e.ID == "lists-0" || e.ID == "lists-7" }
+	leaving := func(w *world) []model.Endpoint {
+		l := w.list()
+		l[0].Leaving, l[7].Leaving = true, true
+		return l
+	}
+	for i := range instances {
+		lag := time.Duration(i) * 2 * second / instances
+		s.events = append(s.events, event{warm + lag, func(w *world) { w.nodes[i].setEndpoints(leaving(w)) }})
+	}
+	s.events = append(s.events,
+		event{warm + 3*second, func(w *world) { w.setEndpoints(w.list()) }},
+		event{warm + 3*second, func(w *world) {
+			w.change(func(e *endpoint) { e.shedding = s.affected(e) })
+		}})
+	_, p := both(t, s)
+	within(t, "seconds to avoid", p.avoid.Seconds(), 0, 3)
+	within(t, "sends later than 3 s", float64(p.late), 0, 0)
+	within(t, "critical work answered", p.answered(1), 0.999, 1)
+}
+
+// Guards against full load on endpoints that start cold.
+func TestPolicyColdStart(t *testing.T) {
+	s := base("cold-start")
+	s.prepare = func(w *world) { w.setEndpoints(w.list()[:9]) }
 	s.events = []event{{warm, func(w *world) {
-		w.change(func(e *endpoint) { e.failing = true })
+		for _, e := range w.order[9:] {
+			e.mu.Lock()
+			e.coldUntil = time.Now().Add(coldTime)
+			e.mu.Unlock()
+		}
+		w.setEndpoints(w.list())
 	}}}
 	both(t, s)
 }
+
+// Guards against work that keeps going to failed endpoints.
+func TestPolicyFailures(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		regions  []model.Region
+		affected func(*endpoint) bool
+		change   func(*endpoint)
+	}{
+		{"endpoints-refuse", nil, func(e *endpoint) bool { return e.ID == "lists-0" || e.ID == "lists-7" }, func(e *endpoint) { e.refusing = true }},
+		{"endpoints-lost", nil, func(e *endpoint) bool { return e.ID == "lists-0" || e.ID == "lists-7" }, func(e *endpoint) { e.lost = true }},
+		{"domain-lost", nil, func(e *endpoint) bool { return e.Domain == "lagos-b" }, func(e *endpoint) { e.lost = true }},
+		{"region-lost", []model.Region{"lagos", "abuja", "port-harcourt"}, func(e *endpoint) bool { return e.Region == "abuja" }, func(e *endpoint) { e.lost = true }},
+	} {
+		s := base(c.name)
+		s.regions, s.affected, s.avoidFrom = c.regions, c.affected, warm
+		s.events = []event{{warm, func(w *world) {
+			w.change(func(e *endpoint) {
+				if c.affected(e) {
+					c.change(e)
+				}
+			})
+		}}}
+		both(t, s)
+	}
+}
+
+// Guards against connections that go silent for ever while new ones work.
+func TestPolicySilentConnections(t *testing.T) {
+	s := base("silent-connections")
+	s.events = []event{{warm, func(w *world) {
+		for i, e := range w.order {
+			e.mu.Lock()
+			for j, n := range w.nodes {
+				e.silent[n.id] = (i+j)%3 == 0
+			}
+			e.mu.Unlock()
+		}
+	}}}
+	both(t, s)
+}
+
+// Guards against steering by old measurements: no load reports any more after
+// the endpoints' loads were far apart.
+func TestPolicyMeasurementsStop(t *testing.T) {
+	s := base("measurements-stop")
+	s.prepare = func(w *world) {
+		for i, e := range w.order {
+			e.slow = 1 + float64(i%2)
+		}
+	}
+	s.events = []event{{warm, func(w *world) {
+		w.change(func(e *endpoint) { e.report, e.slow = reportNone, 0 })
+	}}}
+	both(t, s)
+}
+
+// Guards against figures that do not repeat, with which no two changes can be
+// compared.
+func TestPolicyRepeats(t *testing.T) {
+	s := base("repeat")
+	s.loads = append(mix(), load{model.PriorityCritical, 3, warm, endOfLoad})
+	first, second := row(s, "product", measure(t, s, false)), row(s, "product", measure(t, s, false))
+	if first != second {
+		t.Errorf("figures differ:\n%s\n%s", first, second)
+	}
+}
--- a/internal/policytest/report.go
+++ b/internal/policytest/report.go
@@ -12,10 +12,11 @@
 // fractions.
 type figures struct {
 	by       map[model.Priority]byPriority
-	share    map[model.Priority]float64 // of the endpoints' busy time
+	share    map[model.Priority]float64 // of the endpoints' slot time
 	goodput  float64                    // answered work to capacity
 	attempts float64                    // sends to requests of callers
 	avoid    time.Duration              // -1 if not measured
+	late     int                        // sends to affected endpoints after lateAfter
 }
 
 // answered is the fraction of offered requests that were answered.
@@ -28,25 +29,24 @@
 
 func (w *world) figures() figures {
 	f := figures{by: map[model.Priority]byPriority{}, share: map[model.Priority]float64{}, avoid: -1}
-	var work, busy time.Duration
+	var work time.Duration
 	slots := 0
 	for _, e := range w.order {
 		slots += e.Slots
-		for _, p := range model.Priorities {
-			busy += e.busy[p]
-		}
 	}
+	capacity := time.Duration(slots) * (w.s.to - w.s.from)
 	for _, p := range model.Priorities {
 		f.by[p] = w.results(p)
 		work += f.by[p].work
 		for _, e := range w.order {
-			f.share[p] += float64(e.busy[p]) / float64(busy)
+			f.share[p] += float64(e.busy[p]) / float64(capacity)
 		}
 	}
-	f.goodput = float64(work) / float64(time.Duration(slots)*(w.s.to-w.s.from))
+	f.goodput = float64(work) / float64(capacity)
 	f.attempts = float64(w.sends.Load()) / float64(len(w.calls))
 	if w.s.affected != nil {
 		f.avoid = w.timeToAvoid()
+		f.late = w.lateSends()
 	}
 	return f
 }
@@ -68,11 +68,26 @@
 	return w.s.to - w.s.avoidFrom
 }
 
+// lateAfter is the bound after which a leaving endpoint gets no new work.
+const lateAfter = 3 * time.Second
+
+func (w *world) lateSends() int {
+	n := 0
+	for _, e := range w.order {
+		for _, t := range e.attempts {
+			if w.s.affected(e) && t.Sub(w.start) > w.s.avoidFrom+lateAfter {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (w *world) affectedShare(from, to time.Time) float64 {
 	hit, all := 0, 0
 	for _, e := range w.order {
 		n := 0
-		for _, t := range e.arrivals {
+		for _, t := range e.attempts {
 			if !t.Before(from) && t.Before(to) {
 				n++
 			}
@@ -99,7 +114,7 @@
 	}
 	fmt.Fprintf(&b, " goodput=%.3f attempts=%.3f", f.goodput, f.attempts)
 	if f.avoid >= 0 {
-		fmt.Fprintf(&b, " avoid_ms=%d", f.avoid.Milliseconds())
+		fmt.Fprintf(&b, " avoid_ms=%d late_sends=%d", f.avoid.Milliseconds(), f.late)
 	}
 	return b.String()
 }
--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -126,6 +126,7 @@
 				ID:      model.EndpointID(fmt.Sprintf("lists-%d", i)),
 				Service: service, Region: region, Domain: model.Domain(domain), Slots: 3 + i/3%3,
 			},
+			from: w.start.Add(w.s.from), to: w.start.Add(w.s.to),
 			silent: map[model.InstanceID]bool{},
 			busy:   map[model.Priority]time.Duration{},
 		}
