Count goodput by the time of the answer

The goodput counted all callers that arrived in the measured time, also those answered after it, when the flood had ended. It was overstated.

--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -340,20 +340,23 @@
 type byPriority struct {
 	offered, ok int
 	p50, p99    time.Duration
-	work        time.Duration // service time of answered requests
+	work        time.Duration // service time of requests answered in the measured time
 }
 
 func (w *world) results(p model.Priority) byPriority {
 	var r byPriority
 	var ls []time.Duration
 	for _, c := range w.calls {
+		end := c.at + c.latency
+		if c.priority == p && c.ok && end >= w.s.from && end < w.s.to {
+			r.work += c.work
+		}
 		if c.priority != p || c.at < w.s.from || c.at >= w.s.to {
 			continue
 		}
 		r.offered++
 		if c.ok {
 			r.ok++
-			r.work += c.work
 			ls = append(ls, c.latency)
 		}
 	}
