--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -315,7 +315,7 @@
 		default:
 			tries++
 			deadline = t.need.Deadline
-			slot, err := q.router.Take(now, needOf(t, byMinimum))
+			slot, err := q.router.Take(now, t.need)
 			if err == nil {
 				l.remove(t)
 				t.protected = byMinimum
@@ -329,17 +329,6 @@
 	return l.n == 0
 }
 
-// needOf is the need to take a slot with. A minimum share entitles to a slot
-// like the most urgent work: a Router that keeps slots on loan for urgent work
-// would otherwise withhold it.
-func needOf(t *ticket, byMinimum bool) dispatch.Need {
-	n := t.need
-	if byMinimum {
-		n.Priority = model.PriorityCritical
-	}
-	return n
-}
-
 func first(l *list, newestFirst bool) *ticket {
 	if newestFirst {
 		return l.newest
