Let load reports decay to the mean of the reports

A report decayed to idle, so an endpoint that was not heard of for 200 ms looked better than one that reported a free slot just now.

--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -98,6 +98,7 @@
 	if o.Utilization >= 0 && o.Err == nil && !math.IsNaN(o.Utilization) {
 		e.utilization = min(o.Utilization, maxUtilization)
 		e.reportedAt = now
+		e.pool.sampleUtilization(e.utilization)
 	}
 }
 
@@ -199,14 +200,22 @@
 	return e.failures * math.Exp(-float64(now.Sub(e.measuredAt))/float64(measureDecay))
 }
 
+// utilizationAt returns the reported load. It approaches the mean of the pool
+// as the report ages: an endpoint that was not heard of lately is neither idle
+// nor busy.
+func (e *endpoint) utilizationAt(now time.Time) float64 {
+	if e.reportedAt.IsZero() {
+		return e.pool.utilization
+	}
+	w := math.Exp(-float64(now.Sub(e.reportedAt)) / float64(reportDecay))
+	return w*e.utilization + (1-w)*e.pool.utilization
+}
+
 // cost is what a further request there is expected to cost; the lower the
 // better. A report can only raise it.
 func (e *endpoint) cost(now time.Time) float64 {
 	c := float64(e.outstanding+1) / float64(max(1, e.Slots))
 	c *= e.latencyAt(now)
-	if e.utilization > 0 {
-		u := e.utilization * math.Exp(-float64(now.Sub(e.reportedAt))/float64(reportDecay))
-		c /= 1 - u
-	}
+	c /= 1 - e.utilizationAt(now)
 	return c / (1.01 - e.failureRate(now))
 }
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -130,6 +130,7 @@
 	p := &pool{}
 	if old != nil {
 		p.mean = old.mean
+		p.utilization = old.utilization
 	}
 	size := SubsetSize(len(members), b.instances)
 	b.sortByHash(members)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -18,7 +18,9 @@
 	// has no usable endpoint.
 	subset []*endpoint
 	rest   []*endpoint
-	mean   float64
+	mean   float64 // latency in ns
+	// utilization is the mean of the reports.
+	utilization float64
 }
 
 func (p *pool) meanLatency() float64 {
@@ -36,6 +38,10 @@
 	p.mean += meanWeight * (ns - p.mean)
 }
 
+func (p *pool) sampleUtilization(u float64) {
+	p.utilization += meanWeight * (u - p.utilization)
+}
+
 // pick returns the better of two random usable endpoints of the subset. When
 // more than half of the subset is not usable, it distrusts the measurements
 // and uses all. It returns nil if all are excluded.
