entry: the callers' HTTP interface

Not-run is final for a key, so that a request which is refused before the ledger is asked is only reported as not run after the ledger closed its key. Work that may not be repeated goes on without its caller, so that its outcome is recorded.

model: request fingerprints, shared by the ledger and the quarantine.

--- /dev/null
+++ b/internal/entry/problem.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"jujubestile.example/jujubestile/internal/ledger"
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// Problem is an RFC 9457 problem details object with the members of this
+// system.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	// Outcome is what is known of the request under its key. Not-run is final
+	// for a key of the system's form: send the work again with a new key.
+	Outcome model.Outcome `json:"outcome"`
+	// KeyPrefix is the prefix for the next key at this instance.
+	KeyPrefix string `json:"key_prefix,omitempty"`
+	// Event is the number of the log event with the reason.
+	Event int `json:"event,omitempty"`
+	// RecordedStatus is the endpoint's status when its response is no longer
+	// kept.
+	RecordedStatus int `json:"recorded_status,omitempty"`
+	// Entries lists other instances when this one is about to stop.
+	Entries []Entry `json:"entries,omitempty"`
+	// retryAfter becomes a Retry-After field if it is positive.
+	retryAfter time.Duration
+}
+
+const (
+	problemType   = "application/problem+json"
+	problemPrefix = "urn:jujubestile:problem:"
+)
+
+func newProblem(status int, name, title string, o model.Outcome) *Problem {
+	return &Problem{Type: problemPrefix + name, Title: title, Status: status, Outcome: o}
+}
+
+func (p *Problem) detail(text string) *Problem {
+	p.Detail = text
+	return p
+}
+
+func (p *Problem) after(d time.Duration) *Problem {
+	p.retryAfter = d
+	return p
+}
+
+// write sends the problem. Errors of the connection cannot be reported.
+func (p *Problem) write(w http.ResponseWriter) {
+	body, err := json.Marshal(p)
+	if err != nil {
+		panic(err)
+	}
+	h := w.Header()
+	h.Set("Content-Type", problemType)
+	h.Set(OutcomeHeader, string(p.Outcome))
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if p.retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.retryAfter.Seconds()))))
+	}
+	w.WriteHeader(p.Status)
+	_, _ = w.Write(body)
+}
+
+// refusalProblem describes why the ledger refused a key.
+func refusalProblem(r *ledger.Refusal) *Problem {
+	switch r.Reason {
+	case ledger.ReasonInvalid:
+		return newProblem(http.StatusBadRequest, "invalid-key", "The Idempotency-Key is malformed", r.Outcome)
+	case ledger.ReasonRunning:
+		return newProblem(http.StatusConflict, "running", "A request with this key is still running", r.Outcome).after(time.Second)
+	case ledger.ReasonReused:
+		return newProblem(http.StatusUnprocessableEntity, "key-reused", "The key was used for another request", r.Outcome)
+	case ledger.ReasonExpired:
+		return newProblem(http.StatusGone, "key-expired", "The records of this key's epoch are discarded", r.Outcome)
+	case ledger.ReasonUnbound:
+		return newProblem(http.StatusServiceUnavailable, "unbound", "The key could not be bound to an instance", r.Outcome).after(time.Second)
+	}
+	return newProblem(http.StatusGatewayTimeout, "holder-lost", "The instance that holds the key is lost", r.Outcome)
+}
+
+// notRunProblem describes a key that is recorded as not run.
+func notRunProblem() *Problem {
+	return newProblem(http.StatusServiceUnavailable, "not-run", "The request has not run and its key is closed", model.OutcomeNotRun)
+}
+
+// goneProblem describes a request that ran, without its response.
+func goneProblem(r *ledger.Result) *Problem {
+	p := newProblem(http.StatusGone, "response-gone", "The request ran; its response is no longer kept", r.Outcome)
+	p.RecordedStatus = r.Status
+	return p
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/ledger"
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/transport"
+)
+
+// service serves METHOD /v1/services/SERVICE/PATH.
+func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if h.refusing() {
+		h.refuseDraining(w, r)
+		return
+	}
+	req, timeout, problem := h.read(w, r)
+	if problem != nil {
+		h.refuse(w, r, problem)
+		return
+	}
+	defer h.buffered.Release(bufferedSize(r))
+	ctx := r.Context()
+	if !req.Repeatable {
+		// The work goes on without its caller, so that its outcome is recorded
+		// for a caller that asks again.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, arrived.Add(timeout))
+	defer cancel()
+	if req.Repeatable || req.Key == "" {
+		h.relay(w, r, h.cfg.Dispatcher.Do(ctx, req, nil))
+		return
+	}
+	h.keyed(ctx, w, r, req)
+}
+
+// keyed runs a request that may not be repeated under its key.
+func (h *Handler) keyed(ctx context.Context, w http.ResponseWriter, r *http.Request, req *dispatch.Request) {
+	fp := model.Fingerprint(req.Service, req.Method, req.Path, req.Body)
+	claim, recorded, err := h.cfg.Ledger.Begin(ctx, req.Key, fp)
+	switch {
+	case err != nil:
+		h.writeProblem(w, h.refusal(err))
+	case recorded != nil:
+		h.replay(w, r, recorded)
+	default:
+		// An unfinished claim, after a panic, may have been sent.
+		defer claim.Finish(model.OutcomeUnknown, nil)
+		res := h.cfg.Dispatcher.Do(ctx, req, claim)
+		res.Outcome = claim.Finish(res.Outcome, res.Response)
+		h.relay(w, r, res)
+	}
+}
+
+func (h *Handler) refusal(err error) *Problem {
+	var refusal *ledger.Refusal
+	if errors.As(err, &refusal) {
+		return refusalProblem(refusal)
+	}
+	return newProblem(http.StatusInternalServerError, "internal", "Internal error", model.OutcomeUnknown)
+}
+
+func (h *Handler) writeProblem(w http.ResponseWriter, p *Problem) {
+	p.KeyPrefix = h.cfg.Ledger.Prefix()
+	p.write(w)
+}
+
+// read checks a request and reads its body. On success the caller releases the
+// body's share of h.buffered.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*dispatch.Request, time.Duration, *Problem) {
+	if headerBytes(r.Header) > maxHeaderBytes {
+		return nil, 0, newProblem(http.StatusRequestHeaderFieldsTooLarge, "header-size", "Header over 16 KB", "")
+	}
+	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+		return nil, 0, newProblem(http.StatusMethodNotAllowed, "method", "Method not allowed", "")
+	}
+	service, path, withQuery, err := servicePath(r.URL)
+	if err != nil {
+		return nil, 0, badRequest("path", err)
+	}
+	class, ok := h.cfg.Classifier.Classify(service, r.Method, path)
+	if !ok {
+		return nil, 0, newProblem(http.StatusNotFound, "no-such-service", "No such service", "")
+	}
+	key, err := parseKey(r.Header)
+	if err != nil {
+		return nil, 0, badRequest("invalid-key", err)
+	}
+	timeout, err := timeoutOf(r.Header, h.cfg.DefaultTimeout, h.cfg.MaxTimeout)
+	if err != nil {
+		return nil, 0, badRequest("timeout", err)
+	}
+	body, problem := h.readBody(w, r)
+	if problem != nil {
+		return nil, 0, problem
+	}
+	req := &dispatch.Request{
+		Service: service, Priority: priorityOf(r.Header, class.Priority), Repeatable: class.Repeatable,
+		Key: key, Method: r.Method, Path: withQuery, Header: r.Header, Body: body,
+	}
+	return req, timeout, nil
+}
+
+func badRequest(name string, err error) *Problem {
+	return newProblem(http.StatusBadRequest, name, "Malformed request", "").detail(err.Error())
+}
+
+// bufferedSize is how much of the memory for bodies a request may use.
+func bufferedSize(r *http.Request) int64 {
+	if r.ContentLength < 0 {
+		return maxBodyBytes
+	}
+	return r.ContentLength
+}
+
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Problem) {
+	size := bufferedSize(r)
+	if size > maxBodyBytes {
+		w.Header().Set("Connection", "close")
+		return nil, newProblem(http.StatusRequestEntityTooLarge, "body-size", "Body over 1 MB", "")
+	}
+	if !h.buffered.TryAcquire(size) {
+		w.Header().Set("Connection", "close")
+		return nil, newProblem(http.StatusServiceUnavailable, "buffers", "Too many request bodies in memory", "").after(time.Second)
+	}
+	control := http.NewResponseController(w)
+	// Recorders in tests have no deadlines.
+	_ = control.SetReadDeadline(time.Now().Add(h.cfg.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		h.buffered.Release(size)
+		w.Header().Set("Connection", "close")
+		return nil, bodyProblem(err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+func bodyProblem(err error) *Problem {
+	var tooLarge *http.MaxBytesError
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &tooLarge):
+		return newProblem(http.StatusRequestEntityTooLarge, "body-size", "Body over 1 MB", "")
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return newProblem(http.StatusRequestTimeout, "body-timeout", "Body not received in time", "")
+	}
+	return badRequest("body", err)
+}
+
+// relay reports the outcome of a dispatched request.
+func (h *Handler) relay(w http.ResponseWriter, r *http.Request, res Result) {
+	if res.Outcome == model.OutcomeAnswered && res.Response != nil {
+		h.respond(w, r, res.Response)
+		return
+	}
+	p := newProblem(http.StatusServiceUnavailable, "not-run", "The request has not run", res.Outcome)
+	if res.Outcome != model.OutcomeNotRun {
+		p = newProblem(http.StatusGatewayTimeout, "unknown", "The request may have run", model.OutcomeUnknown)
+	}
+	if res.Status != 0 {
+		p.Status = res.Status
+	}
+	p.Event = res.Event
+	h.writeProblem(w, p.detail(res.Detail).after(res.RetryAfter))
+}
+
+// replay reports the recorded result of a key.
+func (h *Handler) replay(w http.ResponseWriter, r *http.Request, res *ledger.Result) {
+	switch {
+	case res.Outcome == model.OutcomeNotRun:
+		h.writeProblem(w, notRunProblem())
+	case res.Outcome != model.OutcomeAnswered:
+		h.writeProblem(w, newProblem(http.StatusGatewayTimeout, "unknown", "The request may have run", model.OutcomeUnknown))
+	case res.BodyGone:
+		h.writeProblem(w, goneProblem(res))
+	default:
+		h.respond(w, r, &dispatch.Response{Status: res.Status, Header: res.Header, Body: res.Body})
+	}
+}
+
+// respond relays an endpoint's whole response, or aborts the connection.
+func (h *Handler) respond(w http.ResponseWriter, r *http.Request, resp *dispatch.Response) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	header := w.Header()
+	for name, values := range resp.Header {
+		if name != "Connection" {
+			header[name] = values
+		}
+	}
+	header.Del(transport.LoadHeader)
+	header.Set(OutcomeHeader, string(model.OutcomeAnswered))
+	if r.Method != http.MethodHead && resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified {
+		header.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	}
+	w.WriteHeader(resp.Status)
+	if r.Method == http.MethodHead {
+		return
+	}
+	if n, err := w.Write(resp.Body); err != nil && n < len(resp.Body) {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/model/fingerprint.go
@@ -0,0 +1,22 @@
+package model
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"io"
+)
+
+// Fingerprint identifies a request without its key: service, method, path with
+// query, and body. It is the start of a SHA-256, so that a caller cannot
+// construct a request that is mistaken for another's.
+func Fingerprint(s Service, method, path string, body []byte) uint64 {
+	h := sha256.New()
+	for _, field := range []string{string(s), method, path} {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		h.Write(length[:])
+		io.WriteString(h, field)
+	}
+	h.Write(body)
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
