capacity: account for owned, lent and borrowed slots

The sum of the slots in use over all instances has to stay within the capacity of a region while instances crash, pause and lose messages. Slots have one holder at a time: an owner withholds what it gives up until the write is known, loans end first at the borrower, and a request gets a slot only if its deadline is before the slot can move.

--- /dev/null
+++ b/internal/capacity/driver.go
@@ -0,0 +1,316 @@
+package capacity
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/peer"
+	"jujubestile.example/jujubestile/internal/store"
+)
+
+const (
+	// tickEvery is how often the accounts are brought up to date. It is far
+	// below PauseLimit.
+	tickEvery = 100 * time.Millisecond
+	// planEvery is the shortest time between two rounds of asking peers. It
+	// is a few round trips within a region.
+	planEvery = 5 * time.Millisecond
+	// readEvery is how often the root record is read.
+	readEvery = 10 * time.Second
+	// storeTimeout bounds one call of the store.
+	storeTimeout = 2 * time.Second
+	// callTimeout bounds one call of a peer.
+	callTimeout = time.Second
+	// leaveEvery is how often a leaving instance gives up idle slots.
+	leaveEvery = 250 * time.Millisecond
+	// maxSwaps bounds the writes between two readings of the record.
+	maxSwaps = 8
+	// swapBackoff is the longest wait after a write that lost against another.
+	// It doubles up to maxSwapBackoff: at a start of the whole fleet, all
+	// instances of a region write the same record.
+	swapBackoff    = 200 * time.Millisecond
+	maxSwapBackoff = 5 * time.Second
+)
+
+// Members is what the driver needs to know of other instances.
+type Members interface {
+	// Peers returns the live instances of all regions that are not leaving.
+	Peers() []Peer
+	// Listing returns the entry instances in the latest reading of the
+	// platform's list and when that reading began. It reports false before
+	// the first reading.
+	Listing() (ids []model.InstanceID, began time.Time, ok bool)
+}
+
+// Driver connects a State to the store, the peers and the membership.
+type Driver struct {
+	state   *State
+	store   store.Store
+	caller  peer.Caller
+	members Members
+	log     zerolog.Logger
+	rand    *rand.Rand
+
+	wake  chan struct{}
+	calls sync.WaitGroup
+	// storeMu keeps one exchange with the store in progress at a time, so that
+	// an older reading is not taken after a newer one.
+	storeMu  sync.Mutex
+	done     chan struct{}
+	lastList time.Time
+	// storeDown is whether the last call of the store failed.
+	storeDown atomic.Bool
+	admitting bool
+}
+
+// DriverConfig holds what a Driver connects.
+type DriverConfig struct {
+	Store   store.Store
+	Caller  peer.Caller
+	Members Members
+	Log     zerolog.Logger
+	Rand    *rand.Rand
+}
+
+// NewDriver returns the accounts of an instance and their driver. It sets
+// cfg.Unmet.
+func NewDriver(cfg Config, dc DriverConfig) (*State, *Driver) {
+	d := &Driver{store: dc.Store, caller: dc.Caller, members: dc.Members, log: dc.Log, rand: dc.Rand}
+	d.wake = make(chan struct{}, 1)
+	d.done = make(chan struct{})
+	cfg.Unmet = d.signal
+	d.state = New(time.Now(), cfg)
+	return d.state, d
+}
+
+func (d *Driver) signal() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Start runs the driver until ctx ends. Done is closed after that.
+func (d *Driver) Start(ctx context.Context) {
+	go d.runStore(ctx)
+	go d.runPeers(ctx)
+}
+
+// Done is closed when the driver has stopped.
+func (d *Driver) Done() <-chan struct{} {
+	return d.done
+}
+
+// runPeers ticks, and asks peers when requests lack slots.
+func (d *Driver) runPeers(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		d.plan(ctx)
+		if !sleep(ctx, planEvery) {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-d.wake:
+		case <-tick.C:
+			d.tick()
+		}
+	}
+	d.calls.Wait()
+	close(d.done)
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (d *Driver) tick() {
+	d.state.Tick(time.Now())
+	d.state.SetPeers(d.members.Peers())
+	d.takeListing()
+	if now := d.state.Admitting(time.Now()); now != d.admitting {
+		d.admitting = now
+		d.log.Info().Str("event", "capacity-admitting").Bool("admitting", now).Msg("admission by own slots changed")
+	}
+}
+
+func (d *Driver) takeListing() {
+	ids, began, ok := d.members.Listing()
+	if !ok || !began.After(d.lastList) {
+		return
+	}
+	d.lastList = began
+	set := make(map[model.InstanceID]bool, len(ids))
+	for _, id := range ids {
+		set[id] = true
+	}
+	now := time.Now()
+	d.state.Listed(now, d.state.Begin(now).Add(-now.Sub(began)), set)
+}
+
+func (d *Driver) plan(ctx context.Context) {
+	asks, returns := d.state.Plan(time.Now())
+	for _, a := range asks {
+		d.calls.Go(func() { d.ask(ctx, a) })
+	}
+	for _, r := range returns {
+		d.calls.Go(func() { d.giveBack(ctx, r) })
+	}
+}
+
+func (d *Driver) ask(ctx context.Context, a Ask) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply BorrowReply
+	if err := d.caller.Call(ctx, a.To, MethodBorrow, a.Args, &reply); err != nil {
+		d.state.Borrowed(time.Now(), a, nil)
+		return
+	}
+	d.state.Borrowed(time.Now(), a, &reply)
+	d.signal()
+}
+
+// giveBack returns slots. If the message is lost the loan ends by itself.
+func (d *Driver) giveBack(ctx context.Context, r Return) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := d.caller.Call(ctx, r.To, MethodReturn, r.Args, &ReturnReply{})
+	if err != nil {
+		d.log.Debug().Str("event", "capacity-return-failed").Str("peer", string(r.To)).Err(err).Msg("early return failed")
+	}
+}
+
+// runStore reads the root record and writes the changes that it needs.
+func (d *Driver) runStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.setMembers()
+		d.noteStore(d.exchange(ctx))
+		wait := readEvery + time.Duration(d.rand.Int64N(int64(readEvery/10)))
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+// exchange reads the record and writes the changes that it needs. A write with
+// an unknown result is read back once.
+func (d *Driver) exchange(ctx context.Context) error {
+	d.storeMu.Lock()
+	defer d.storeMu.Unlock()
+	if err := d.readRecord(ctx); err != nil {
+		return err
+	}
+	if d.writeChanges(ctx) == nil {
+		return nil
+	}
+	return d.readRecord(ctx)
+}
+
+func (d *Driver) setMembers() {
+	var ids []model.InstanceID
+	for _, p := range d.members.Peers() {
+		if p.Region == d.state.cfg.Region {
+			ids = append(ids, p.ID)
+		}
+	}
+	d.state.SetMembers(time.Now(), ids)
+}
+
+func (d *Driver) readRecord(ctx context.Context) error {
+	began := d.state.Begin(time.Now())
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	kv, err := d.store.Get(ctx, RecordKey(d.state.cfg.Region))
+	if errors.Is(err, store.ErrNotFound) {
+		kv, err = store.KeyValue{Revision: store.Absent}, nil
+	}
+	if err != nil {
+		return err
+	}
+	return d.state.Read(time.Now(), began, kv)
+}
+
+// writeChanges writes until the record needs no change, a write fails or
+// maxSwaps is reached.
+func (d *Driver) writeChanges(ctx context.Context) error {
+	wait := swapBackoff
+	for range maxSwaps {
+		c := d.state.Propose(time.Now())
+		if c == nil {
+			return nil
+		}
+		swapped, err := d.write(ctx, c)
+		if err != nil {
+			return err
+		}
+		if swapped {
+			continue
+		}
+		if !sleep(ctx, time.Duration(d.rand.Int64N(int64(wait)))) {
+			return ctx.Err()
+		}
+		wait = min(2*wait, maxSwapBackoff)
+	}
+	return nil
+}
+
+func (d *Driver) write(ctx context.Context, c *Change) (bool, error) {
+	value, err := c.Record.Marshal()
+	if err != nil {
+		return false, err
+	}
+	began := d.state.Begin(time.Now())
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	res, err := d.store.CompareAndSwap(ctx, RecordKey(d.state.cfg.Region), c.Expected, value, 0)
+	if err != nil {
+		return false, err
+	}
+	d.log.Debug().Str("event", "capacity-record-written").Bool("swapped", res.Swapped).Uint64("version", c.Record.Version).Msg("root record written")
+	return res.Swapped, d.state.Read(time.Now(), began, res.Current)
+}
+
+func (d *Driver) noteStore(err error) {
+	if down := err != nil; d.storeDown.Swap(down) != down {
+		d.log.Warn().Str("event", "capacity-store").Bool("down", down).Err(err).Msg("root record access changed")
+	}
+}
+
+// Leave gives up all slots as they become idle and returns when the record
+// holds none, or with the context's error.
+func (d *Driver) Leave(ctx context.Context) error {
+	d.state.Leave(time.Now())
+	for !d.state.Left() {
+		if err := d.leaveOnce(ctx); err != nil {
+			d.noteStore(err)
+		}
+		if !sleep(ctx, leaveEvery) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (d *Driver) leaveOnce(ctx context.Context) error {
+	d.storeMu.Lock()
+	defer d.storeMu.Unlock()
+	if d.writeChanges(ctx) == nil {
+		return nil
+	}
+	return d.readRecord(ctx)
+}
--- /dev/null
+++ b/internal/capacity/lend.go
@@ -0,0 +1,159 @@
+package capacity
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+const (
+	// maxIdleHints bounds the idle slots of third instances in a reply.
+	maxIdleHints = 4
+	// forcedEvery is the shortest time between two loans that an instance
+	// makes although it could use the slots itself.
+	forcedEvery = time.Second
+	// promiseFor is how long a slot is kept for a borrower that was told to
+	// ask again.
+	promiseFor = 200 * time.Millisecond
+)
+
+// loanOut is a loan to another instance.
+type loanOut struct {
+	pool  *pool
+	to    model.InstanceID
+	count int
+	// granted is when the loan was made, end when it ends unless renewed.
+	granted, end time.Time
+}
+
+// Lend answers a peer that wants slots.
+func (s *State) Lend(now time.Time, a *BorrowArgs) BorrowReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.enter(now)
+	var r BorrowReply
+	if !s.mayLend(t) || len(a.Want) > maxItems || len(a.Renew) > maxItems {
+		return r
+	}
+	for _, id := range a.Renew {
+		if s.renew(t, id, a.From) {
+			r.Renewed = append(r.Renewed, id)
+		}
+	}
+	for _, w := range a.Want {
+		s.lendOne(t, a.From, w, &r)
+	}
+	return r
+}
+
+// mayLend reports whether loans made now end before the own slots could be
+// reclaimed.
+func (s *State) mayLend(t time.Time) bool {
+	return s.admitting(t) && !t.Add(LoanTerm).After(s.ownUntil(t))
+}
+
+func (s *State) renew(t time.Time, id LoanID, from model.InstanceID) bool {
+	l := s.out[id]
+	if l == nil || l.to != from || l.pool.withheld > 0 {
+		return false
+	}
+	// A loan that the lender could use itself lasts one term.
+	if l.pool.load.unmet(t) && t.Sub(l.granted) >= LoanTerm/2 {
+		return false
+	}
+	l.end = t.Add(LoanTerm)
+	return true
+}
+
+func (s *State) lendOne(t time.Time, to model.InstanceID, w Want, r *BorrowReply) {
+	p := s.pools[w.Key]
+	if p == nil || w.Key.Region != s.cfg.Region || w.Count <= 0 {
+		s.hint(t, to, w.Key, r)
+		return
+	}
+	n := min(s.lendable(t, p, to, w), w.Count)
+	if n > 0 {
+		r.Loans = append(r.Loans, s.lend(t, p, to, n))
+	}
+	if idle := s.idleSlots(t, p); idle > 0 {
+		r.Idle = append(r.Idle, Idle{Instance: s.cfg.Self, Key: w.Key, Count: idle})
+	}
+	s.hint(t, to, w.Key, r)
+}
+
+// idleSlots returns the free slots less those that the instance keeps for its
+// own requests: as many as it lately had in use.
+func (s *State) idleSlots(t time.Time, p *pool) int {
+	if p.load.unmet(t) {
+		return 0
+	}
+	keep := max(p.load.peak(t)-p.inUse(), 0)
+	return max(p.free()-keep, 0)
+}
+
+// lendable returns how many slots the peer may have. A peer without any slot
+// gets one now and then although the lender could use it, so that its urgent
+// requests are served too.
+func (s *State) lendable(t time.Time, p *pool, to model.InstanceID, w Want) int {
+	if n := s.idleSlots(t, p); n > 0 {
+		return n
+	}
+	if w.Have > 0 || !p.load.mayForce(t, to, w.Priority) {
+		return 0
+	}
+	if p.free() > 0 {
+		p.load.forced(t)
+		return 1
+	}
+	p.load.promise(t, to, w.Priority)
+	return 0
+}
+
+func (s *State) lend(t time.Time, p *pool, to model.InstanceID, n int) Loan {
+	s.seq++
+	id := LoanID{Incarnation: s.cfg.Incarnation, Seq: s.seq}
+	s.out[id] = &loanOut{pool: p, to: to, count: n, granted: t, end: t.Add(LoanTerm)}
+	p.lent += n
+	s.dem.nextExpiry = earlier(s.dem.nextExpiry, t.Add(LoanTerm))
+	return Loan{ID: id, Key: p.key, Count: n}
+}
+
+func (s *State) hint(t time.Time, to model.InstanceID, k Key, r *BorrowReply) {
+	n := 0
+	idle := s.dem.idle[k]
+	for _, id := range slices.Sorted(maps.Keys(idle)) {
+		count := idle[id]
+		if id == to || t.Sub(count.seen) > idleFresh || n == maxIdleHints {
+			continue
+		}
+		r.Idle = append(r.Idle, Idle{Instance: id, Key: k, Count: count.count})
+		n++
+	}
+}
+
+// TakeBack ends parts of loans that a borrower returns early.
+func (s *State) TakeBack(now time.Time, a *ReturnArgs) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.enter(now)
+	for _, k := range a.Loans {
+		l := s.out[k.ID]
+		if l == nil || l.to != a.From || k.Count < 0 || k.Count >= l.count {
+			continue
+		}
+		l.pool.lent -= l.count - k.Count
+		l.count = k.Count
+		s.freed(l.pool.key.Service)
+		if l.count == 0 {
+			delete(s.out, k.ID)
+		}
+	}
+}
+
+func (s *State) endLoanOut(id LoanID, l *loanOut) {
+	l.pool.lent -= l.count
+	delete(s.out, id)
+	s.freed(l.pool.key.Service)
+}
--- /dev/null
+++ b/internal/capacity/messages.go
@@ -0,0 +1,79 @@
+package capacity
+
+import (
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// Names of the net/rpc methods.
+const (
+	MethodBorrow = "Capacity.Borrow"
+	MethodReturn = "Capacity.Return"
+)
+
+// maxItems bounds the lists in one message.
+const maxItems = 256
+
+// LoanID names a loan. Incarnation is that of the lender, so that a message
+// about a loan of an earlier process has no effect.
+type LoanID struct {
+	Incarnation model.Incarnation
+	Seq         uint64
+}
+
+// BorrowArgs asks a peer for slots that it owns.
+type BorrowArgs struct {
+	From  model.InstanceID
+	Want  []Want
+	Renew []LoanID
+}
+
+// Want asks for slots of one (region, service).
+type Want struct {
+	Key Key
+	// Count is how many slots the borrower can use at most.
+	Count int
+	// Have is how many slots the borrower may use already.
+	Have int
+	// Priority is the most urgent class that waits for them.
+	Priority model.Priority
+}
+
+// BorrowReply says what is lent. The term of each loan, new or renewed, is
+// LoanTerm from when the borrower asked.
+type BorrowReply struct {
+	Loans   []Loan
+	Renewed []LoanID
+	// Idle says how many more slots of the wanted services the lender and
+	// others that it knows of have idle.
+	Idle []Idle
+}
+
+// Loan is a number of slots lent together.
+type Loan struct {
+	ID    LoanID
+	Key   Key
+	Count int
+}
+
+// Idle is how many slots an instance could lend.
+type Idle struct {
+	Instance model.InstanceID
+	Key      Key
+	Count    int
+}
+
+// ReturnArgs gives back parts of loans before their end.
+type ReturnArgs struct {
+	From  model.InstanceID
+	Loans []Keep
+}
+
+// Keep says how many slots of a loan the borrower keeps. A repeated or late
+// message has no further effect, because a loan never grows.
+type Keep struct {
+	ID    LoanID
+	Count int
+}
+
+// ReturnReply is empty.
+type ReturnReply struct{}
--- /dev/null
+++ b/internal/capacity/record.go
@@ -0,0 +1,135 @@
+package capacity
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// RecordKey returns the store's key of a region's root record.
+func RecordKey(r model.Region) string {
+	return "capacity/" + string(r)
+}
+
+// Record is the root record of a region: how many slots of each service each
+// instance owns.
+type Record struct {
+	// Version grows by one with each change.
+	Version uint64 `json:"version"`
+	// Services gives the meaning of the positions in Holder.Slots. It is
+	// sorted.
+	Services []model.Service              `json:"services"`
+	Holders  map[model.InstanceID]*Holder `json:"holders"`
+}
+
+// Holder is the entry of one owner.
+type Holder struct {
+	// Incarnation is the process that holds the slots.
+	Incarnation model.Incarnation `json:"inc"`
+	// Slots are counts by position in Record.Services. Missing positions at
+	// the end are zero.
+	Slots []int `json:"slots"`
+	// Missing is the version at which the holder was noted as missing from
+	// the platform's list, or 0.
+	Missing uint64 `json:"missing,omitempty"`
+}
+
+// ParseRecord reads a root record. No value is the empty record.
+func ParseRecord(value []byte) (*Record, error) {
+	r := &Record{}
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, r); err != nil {
+			return nil, errors.Annotate(err, "root record")
+		}
+	}
+	if r.Holders == nil {
+		r.Holders = make(map[model.InstanceID]*Holder)
+	}
+	for id, h := range r.Holders {
+		if h == nil || len(h.Slots) > len(r.Services) || slices.ContainsFunc(h.Slots, negative) {
+			return nil, errors.NotValidf("root record: holder %q", id)
+		}
+	}
+	return r, nil
+}
+
+func negative(n int) bool {
+	return n < 0
+}
+
+// Marshal returns the record's JSON.
+func (r *Record) Marshal() ([]byte, error) {
+	return json.Marshal(r)
+}
+
+// clone returns a deep copy.
+func (r *Record) clone() *Record {
+	c := &Record{Version: r.Version, Services: slices.Clone(r.Services)}
+	c.Holders = make(map[model.InstanceID]*Holder, len(r.Holders))
+	for id, h := range r.Holders {
+		c.Holders[id] = &Holder{Incarnation: h.Incarnation, Slots: slices.Clone(h.Slots), Missing: h.Missing}
+	}
+	return c
+}
+
+// at returns the count at a position.
+func (h *Holder) at(i int) int {
+	if h == nil || i < 0 || i >= len(h.Slots) {
+		return 0
+	}
+	return h.Slots[i]
+}
+
+func (h *Holder) empty() bool {
+	return !slices.ContainsFunc(h.Slots, func(n int) bool { return n != 0 })
+}
+
+// set changes the count at a position and drops zeros at the end.
+func (h *Holder) set(i, n int) {
+	for len(h.Slots) <= i {
+		h.Slots = append(h.Slots, 0)
+	}
+	h.Slots[i] = n
+	last := len(h.Slots)
+	for last > 0 && h.Slots[last-1] == 0 {
+		last--
+	}
+	h.Slots = h.Slots[:last]
+}
+
+// index returns the position of a service, or -1.
+func (r *Record) index(svc model.Service) int {
+	if i, ok := slices.BinarySearch(r.Services, svc); ok {
+		return i
+	}
+	return -1
+}
+
+// position returns the position of a service and adds it if it is new.
+func (r *Record) position(svc model.Service) int {
+	i, ok := slices.BinarySearch(r.Services, svc)
+	if ok {
+		return i
+	}
+	r.Services = slices.Insert(r.Services, i, svc)
+	for _, h := range r.Holders {
+		if i < len(h.Slots) {
+			h.Slots = slices.Insert(h.Slots, i, 0)
+		}
+	}
+	return i
+}
+
+// totals returns the sums over all holders by position.
+func (r *Record) totals() []int {
+	sum := make([]int, len(r.Services))
+	for _, h := range r.Holders {
+		for i, n := range h.Slots {
+			sum[i] += n
+		}
+	}
+	return sum
+}
