--- a/cmd/jujubestiled/run.go
+++ b/cmd/jujubestiled/run.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
@@ -14,8 +15,12 @@
 	"jujubestile.example/jujubestile/internal/daemon"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/settings"
+	"jujubestile.example/jujubestile/internal/telemetry"
 )
 
+// flushTimeout bounds writing the last spans.
+const flushTimeout = 2 * time.Second
+
 // configFlag is the -config flag that run and check share.
 type configFlag struct {
 	file string
@@ -56,7 +61,16 @@
 	defer stop()
 	level, _ := zerolog.ParseLevel(s.Log.Level)
 	log := events.New(os.Stderr, level, string(s.Instance))
-	if err := daemon.New(s, log).Run(ctx); err != nil {
+	tracer, err := telemetry.Open(s.Trace.File, string(s.Instance), s.Trace.Sample)
+	if err != nil {
+		log.Log(events.StartFailed).Err(err).Send()
+		return subcommands.ExitFailure
+	}
+	err = daemon.New(s, log, tracer).Run(ctx)
+	flush, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	_ = tracer.Close(flush)
+	if err != nil {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
--- a/internal/capacity/driver.go
+++ b/internal/capacity/driver.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/rs/zerolog"
 
+	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/peer"
 	"jujubestile.example/jujubestile/internal/store"
@@ -55,7 +55,7 @@
 	store   store.Store
 	caller  peer.Caller
 	members Members
-	log     zerolog.Logger
+	log     events.Logger
 	rand    *rand.Rand
 
 	wake  chan struct{}
@@ -75,7 +75,7 @@
 	Store   store.Store
 	Caller  peer.Caller
 	Members Members
-	Log     zerolog.Logger
+	Log     events.Logger
 	Rand    *rand.Rand
 }
 
@@ -145,7 +145,7 @@
 	d.takeListing()
 	if now := d.state.Admitting(time.Now()); now != d.admitting {
 		d.admitting = now
-		d.log.Info().Str("event", "capacity-admitting").Bool("admitting", now).Msg("admission by own slots changed")
+		d.log.Log(events.Admitting).Bool("admitting", now).Send()
 	}
 }
 
@@ -191,7 +191,7 @@
 	defer cancel()
 	err := d.caller.Call(ctx, r.To, MethodReturn, r.Args, &ReturnReply{})
 	if err != nil {
-		d.log.Debug().Str("event", "capacity-return-failed").Str("peer", string(r.To)).Err(err).Msg("early return failed")
+		d.log.Log(events.LoanReturnFailed).Str("peer", string(r.To)).Err(err).Send()
 	}
 }
 
@@ -281,13 +281,17 @@
 	if err != nil {
 		return false, err
 	}
-	d.log.Debug().Str("event", "capacity-record-written").Bool("swapped", res.Swapped).Uint64("version", c.Record.Version).Msg("root record written")
+	d.log.Log(events.RecordWritten).Bool("swapped", res.Swapped).Uint64("version", c.Record.Version).Send()
 	return res.Swapped, d.state.Read(time.Now(), began, res.Current)
 }
 
 func (d *Driver) noteStore(err error) {
 	if down := err != nil; d.storeDown.Swap(down) != down {
-		d.log.Warn().Str("event", "capacity-store").Bool("down", down).Err(err).Msg("root record access changed")
+		if down {
+			d.log.Log(events.StoreUnavailable).Str("key", "capacity").Err(err).Send()
+		} else {
+			d.log.Log(events.StoreAvailable).Str("key", "capacity").Send()
+		}
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,73 +4,257 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
+	"jujubestile.example/jujubestile/internal/admission"
+	"jujubestile.example/jujubestile/internal/balance"
+	"jujubestile.example/jujubestile/internal/capacity"
+	"jujubestile.example/jujubestile/internal/configsync"
+	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/entry"
 	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/ledger"
+	"jujubestile.example/jujubestile/internal/membership"
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/peer"
 	"jujubestile.example/jujubestile/internal/platform"
+	"jujubestile.example/jujubestile/internal/retry"
+	"jujubestile.example/jujubestile/internal/route"
 	"jujubestile.example/jujubestile/internal/settings"
+	"jujubestile.example/jujubestile/internal/shift"
 	"jujubestile.example/jujubestile/internal/store/etcd"
+	"jujubestile.example/jujubestile/internal/telemetry"
+	"jujubestile.example/jujubestile/internal/transport"
 )
 
-const (
-	// readHeaderTimeout bounds a slow sender of a request header.
-	readHeaderTimeout = 5 * time.Second
-	// maxHeaderBytes bounds a request header.
-	maxHeaderBytes = 16 << 10
-)
+// capacityService is the net/rpc name in capacity.MethodBorrow and
+// capacity.MethodReturn.
+const capacityService = "Capacity"
 
 // Daemon is one entry instance.
 type Daemon struct {
-	settings settings.Settings
-	log      events.Logger
-	store    *etcd.Client
-	list     *listPoller
-	entry    *http.Server
+	settings    settings.Settings
+	log         events.Logger
+	tracer      *telemetry.Tracer
+	incarnation model.Incarnation
+	rand        *rand.Rand
+
+	store   *etcd.Client
+	source  *platform.Client
+	pool    *peer.Pool
+	rpc     *peer.Server
+	members *membership.Node
+	listing listingCache
+	past    successors
+
+	rules       *configsync.State
+	rulesDriver *configsync.Driver
+	editor      *configsync.Editor
+
+	signals        *route.Signals
+	capacity       *capacity.State
+	capacityDriver *capacity.Driver
+	limiter        *shift.Limiter
+	handover       *shift.Handover
+	router         *route.Router
+	admission      *admission.Control
+	balancer       *balance.Balancer
+	transport      *transport.Transport
+	dispatcher     *dispatch.Dispatcher
+	ledger         *ledger.Ledger
+	entry          *entry.Handler
+
+	servers []*http.Server
+	loops   sync.WaitGroup
+	// ready says whether the instance has been ready once; notReady whether
+	// it has been logged as not ready since.
+	ready          atomic.Bool
+	notReadyLogged atomic.Bool
+	// drained is set while an operator or the rules drain the instance.
+	drained, drainedByRules atomic.Bool
+	// lastPrefix is the announced key prefix. Only housekeep uses it.
+	lastPrefix string
+	metrics    metrics
 }
 
 // New builds an instance. It opens no connection yet.
-func New(s settings.Settings, log events.Logger) *Daemon {
+func New(s settings.Settings, log events.Logger, tracer *telemetry.Tracer) *Daemon {
+	now := time.Now()
 	d := &Daemon{
-		settings: s,
-		log:      log,
-		store:    etcd.New(s.Store),
-		list:     newListPoller(platform.NewClient(s.Platform.URL), time.Duration(s.Platform.Poll), log),
+		settings:    s,
+		log:         log,
+		tracer:      tracer,
+		incarnation: model.Incarnation(now.UnixNano()),
+		rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		store:       etcd.New(s.Store),
+		source:      platform.NewClient(s.Platform.URL),
+		rpc:         peer.NewServer(peer.ServerOptions{}),
 	}
-	d.entry = newServer(newThinEntry(d.list))
+	d.pool = peer.NewPool(func(id model.InstanceID) (netip.AddrPort, bool) { return d.members.Resolve(id) }, peer.PoolOptions{})
+	d.buildRules()
+	d.buildRouting(now)
+	d.buildMembers()
+	d.buildLedger()
+	d.buildRequests()
 	return d
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+// newRand returns a generator for a part that owns its generator.
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+func (d *Daemon) buildRules() {
+	fleet := &configsync.PeerFleet{Caller: d.pool, Relays: d.relays, Self: d.settings.Instance}
+	isRelay := func() bool { return d.members.IsRelay() }
+	d.rules = configsync.NewState(time.Now)
+	d.rulesDriver = &configsync.Driver{State: d.rules, Store: d.store, Fleet: fleet, IsRelay: isRelay, Rand: newRand(), Report: d.rulesEvent}
+	d.editor = &configsync.Editor{State: d.rules, Store: d.store, Fleet: fleet, IsRelay: isRelay, Now: time.Now, Report: d.rulesEvent}
+}
+
+func (d *Daemon) buildRouting(now time.Time) {
+	d.signals = route.NewSignals()
+	d.capacity, d.capacityDriver = capacity.NewDriver(
+		capacity.Config{
+			Self: d.settings.Instance, Incarnation: d.incarnation,
+			Region: d.settings.Region, Domain: d.settings.Domain,
+			Rand: newRand(), Freed: d.signals.Signal,
+		},
+		capacity.DriverConfig{Store: d.store, Caller: d.pool, Members: capacityMembers{d}, Log: d.log, Rand: newRand()},
+	)
+	d.limiter = shift.New(newRand())
+	d.handover = shift.NewHandover(d.settings.Instance, d.settings.Region, time.Now)
+	d.router = route.New(route.Config{
+		Region: d.settings.Region, Incarnation: d.incarnation, Capacity: d.capacity,
+		Limiter: d.limiter, Handover: d.handover, Signals: d.signals,
+	})
+	d.admission = admission.New(d.router)
+	d.balancer = balance.New(balance.Config{Instance: d.settings.Instance, ActiveProbes: true, Rand: newRand()})
+}
+
+func (d *Daemon) buildMembers() {
+	s := d.settings
+	d.members = membership.NewNode(membership.Options{
+		Self: membership.Member{
+			ID: s.Instance, Region: s.Region, Domain: s.Domain, Incarnation: d.incarnation,
+			EntryAddr: s.Listen.Entry, PeerAddr: s.Listen.Peer, ControlAddr: s.Listen.Control,
+		},
+		Caller:    d.pool,
+		Source:    &timedSource{Source: d.source, began: &d.listing.began},
+		Topics:    []membership.Topic{d.rules, d.handover},
+		Rand:      newRand(),
+		OnListing: d.onListing,
+		OnEvent:   d.membersEvent,
+	})
+}
+
+func (d *Daemon) buildLedger() {
+	d.ledger = ledger.New(ledger.Config{
+		Self: d.settings.Instance, Inc: d.incarnation, Peers: d.pool,
+		Members: ledgerMembers{d}, Store: d.store,
+	})
+}
+
+func (d *Daemon) buildRequests() {
+	d.transport = transport.New(transport.Config{})
+	d.dispatcher = dispatch.New(dispatch.Config{
+		Region: d.settings.Region, Admission: d.admission, Balancer: d.balancer,
+		Transport: tracedTransport{d.transport, d.tracer}, Retry: retry.NewPolicy(newRand()),
+	})
+	d.entry = entry.New(entry.Config{
+		Dispatcher:     dispatcher{d},
+		Ledger:         entry.FromLedger(d.ledger),
+		Classifier:     entry.ByRules(d.rules.Rules),
+		Directory:      directory{d},
+		Log:            d.log,
+		DefaultTimeout: time.Duration(d.settings.Requests.DefaultTimeout),
+		MaxTimeout:     time.Duration(d.settings.Requests.MaxTimeout),
+	})
 }
 
 // Run listens, serves until ctx is done and then stops gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
-	ln, err := listen(d.settings.Listen.Entry)
-	if err != nil {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	if err := d.start(work); err != nil {
 		d.log.Log(events.StartFailed).Err(err).Send()
+		d.close()
 		return err
 	}
-	go func() { _ = d.entry.Serve(ln) }()
-	go d.list.run(ctx)
-	d.log.Log(events.Started).Stringer("entry", d.settings.Listen.Entry).Send()
+	l := d.settings.Listen
+	d.log.Log(events.Started).Stringer("entry", l.Entry).Stringer("peer", l.Peer).Stringer("control", l.Control).Send()
 	<-ctx.Done()
-	return d.stop()
+	err := d.stop()
+	stopWork()
+	d.loops.Wait()
+	d.close()
+	return err
 }
 
-func (d *Daemon) stop() error {
-	d.log.Log(events.Leaving).Send()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Shutdown.Grace))
-	defer cancel()
-	err := d.entry.Shutdown(ctx)
-	d.store.Close()
-	d.log.Log(events.Stopped).Send()
-	return errors.Trace(err)
+// start opens the listeners and starts all loops.
+func (d *Daemon) start(ctx context.Context) error {
+	if err := d.register(); err != nil {
+		return err
+	}
+	peerLn, err := listen(d.settings.Listen.Peer)
+	if err != nil {
+		return err
+	}
+	d.loop(func() { _ = d.rpc.Serve(peerLn) })
+	if err := d.serve(d.settings.Listen.Entry, entry.NewServer(traced(d.tracer, d.entry))); err != nil {
+		return err
+	}
+	if err := d.serve(d.settings.Listen.Control, entry.NewServer(d.controlHandler())); err != nil {
+		return err
+	}
+	d.loop(func() { d.members.Run(ctx) })
+	d.loop(func() { d.rulesDriver.Run(ctx) })
+	d.capacityDriver.Start(ctx)
+	d.loop(func() { d.applyRules(ctx) })
+	d.loop(func() { d.housekeep(ctx) })
+	d.loop(func() { d.probe(ctx) })
+	return nil
+}
+
+func (d *Daemon) loop(f func()) {
+	d.loops.Add(1)
+	go func() {
+		defer d.loops.Done()
+		f()
+	}()
+}
+
+// register makes the methods for other instances callable.
+func (d *Daemon) register() error {
+	for name, receiver := range map[string]any{
+		membership.ServiceName: d.members,
+		configsync.ServiceName: configsync.NewService(d.rules),
+		capacityService:        capacity.NewRPC(d.capacity),
+		ledger.ServiceName:     d.ledger.Service(),
+	} {
+		if err := d.rpc.Register(name, receiver); err != nil {
+			return errors.Annotatef(err, "registering %s", name)
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) serve(addr netip.AddrPort, srv *http.Server) error {
+	ln, err := listen(addr)
+	if err != nil {
+		return err
+	}
+	d.servers = append(d.servers, srv)
+	d.loop(func() { _ = srv.Serve(ln) })
+	return nil
 }
 
 func listen(a netip.AddrPort) (net.Listener, error) {
--- /dev/null
+++ b/internal/daemon/members.go
@@ -0,0 +1,209 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jujubestile.example/jujubestile/internal/capacity"
+	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/membership"
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/platform"
+)
+
+// listingCache keeps the platform's last list. A failed reading changes
+// nothing.
+type listingCache struct {
+	// began is when the present reading of the list began.
+	began   atomic.Pointer[time.Time]
+	mu      sync.Mutex
+	ids     []model.InstanceID
+	at      time.Time
+	failing bool
+}
+
+// timedSource notes when each reading of the list begins. Readings do not
+// overlap.
+type timedSource struct {
+	platform.Source
+	began *atomic.Pointer[time.Time]
+}
+
+// List implements platform.Source.
+func (s *timedSource) List(ctx context.Context) (platform.Listing, error) {
+	now := time.Now()
+	s.began.Store(&now)
+	return s.Source.List(ctx)
+}
+
+// onListing takes a reading of the platform's list.
+func (d *Daemon) onListing(l platform.Listing, err error) {
+	if changed := d.listing.take(l, *d.listing.began.Load(), err); changed && err != nil {
+		d.log.Log(events.ListUnavailable).Err(err).Send()
+	} else if changed {
+		d.log.Log(events.ListAvailable).Send()
+	}
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	d.balancer.SetEndpoints(now, l.Endpoints)
+	d.balancer.SetInstances(now, len(l.Entries))
+}
+
+// take keeps a reading and reports whether the list began or ceased to fail.
+func (c *listingCache) take(l platform.Listing, began time.Time, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := c.failing != (err != nil)
+	c.failing = err != nil
+	if err == nil {
+		c.ids = c.ids[:0:0]
+		for _, e := range l.Entries {
+			c.ids = append(c.ids, e.ID)
+		}
+		c.at = began
+	}
+	return changed
+}
+
+// capacityMembers implements capacity.Members.
+type capacityMembers struct{ d *Daemon }
+
+// Peers implements capacity.Members.
+func (m capacityMembers) Peers() []capacity.Peer {
+	var out []capacity.Peer
+	for _, s := range m.d.alive() {
+		out = append(out, capacity.Peer{ID: s.ID, Region: s.Region, Domain: s.Domain})
+	}
+	return out
+}
+
+// Listing implements capacity.Members.
+func (m capacityMembers) Listing() ([]model.InstanceID, time.Time, bool) {
+	c := &m.d.listing
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ids, c.at, !c.at.IsZero()
+}
+
+// alive returns the other instances that take work.
+func (d *Daemon) alive() []membership.Status {
+	var out []membership.Status
+	for _, s := range d.members.View().Members {
+		if s.State == membership.StateAlive && s.ID != d.settings.Instance {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// relays returns the instances that watch the store.
+func (d *Daemon) relays() []model.InstanceID {
+	var out []model.InstanceID
+	for _, ids := range d.members.View().Relays {
+		out = append(out, ids...)
+	}
+	return out
+}
+
+// ledgerMembers implements ledger.Members.
+type ledgerMembers struct{ d *Daemon }
+
+// Witness implements ledger.Members.
+func (m ledgerMembers) Witness(exclude []model.InstanceID) (model.InstanceID, model.Incarnation, bool) {
+	return m.d.nearest(exclude, false)
+}
+
+// Successor implements ledger.Members.
+func (m ledgerMembers) Successor(id model.InstanceID, inc model.Incarnation) (model.InstanceID, bool) {
+	if s, ok := m.d.members.View().Get(id); ok && s.Incarnation == inc && s.Successor != "" {
+		return s.Successor, true
+	}
+	return m.d.past.get(id, inc)
+}
+
+// nearest returns a live peer to keep records at: in another failure domain of
+// the region if there is one, else anywhere outside the failure domain, else
+// any. Rendezvous hashing spreads the instances over the peers. With sameFirst
+// a peer of the failure domain is as good as any of the region.
+func (d *Daemon) nearest(exclude []model.InstanceID, sameFirst bool) (model.InstanceID, model.Incarnation, bool) {
+	candidates := slices.DeleteFunc(d.alive(), func(s membership.Status) bool { return slices.Contains(exclude, s.ID) })
+	if len(candidates) == 0 {
+		return "", 0, false
+	}
+	best := slices.MinFunc(candidates, func(a, b membership.Status) int {
+		return cmp.Or(
+			cmp.Compare(d.distance(a, sameFirst), d.distance(b, sameFirst)),
+			cmp.Compare(pairHash(d.settings.Instance, a.ID), pairHash(d.settings.Instance, b.ID)),
+		)
+	})
+	return best.ID, best.Incarnation, true
+}
+
+func (d *Daemon) distance(s membership.Status, sameFirst bool) int {
+	switch {
+	case s.Region == d.settings.Region && (sameFirst || s.Domain != d.settings.Domain):
+		return 0
+	case s.Domain != d.settings.Domain:
+		return 1
+	}
+	return 2
+}
+
+func pairHash(a, b model.InstanceID) uint64 {
+	return xxhash.Sum64String(string(a) + "/" + string(b))
+}
+
+// successors remembers who holds the records of instances that have stopped,
+// because a restarted instance overwrites its record in the membership.
+type successors struct {
+	mu sync.Mutex
+	m  map[pastInstance]pastSuccessor
+}
+
+type pastInstance struct {
+	id  model.InstanceID
+	inc model.Incarnation
+}
+
+type pastSuccessor struct {
+	id    model.InstanceID
+	since time.Time
+}
+
+// keepSuccessor is longer than the four key epochs of 5 minutes in which a
+// successor is asked for records.
+const keepSuccessor = 25 * time.Minute
+
+func (p *successors) get(id model.InstanceID, inc model.Incarnation) (model.InstanceID, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.m[pastInstance{id, inc}]
+	return s.id, ok
+}
+
+// note takes the successors that members have announced.
+func (p *successors) note(now time.Time, members []membership.Status) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.m == nil {
+		p.m = make(map[pastInstance]pastSuccessor)
+	}
+	for _, s := range members {
+		if s.Successor != "" {
+			p.m[pastInstance{s.ID, s.Incarnation}] = pastSuccessor{s.Successor, now}
+		}
+	}
+	for k, s := range p.m {
+		if now.Sub(s.since) > keepSuccessor {
+			delete(p.m, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/report.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"jujubestile.example/jujubestile/internal/configsync"
+	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/membership"
+)
+
+var rulesEvents = map[configsync.EventKind]events.Event{
+	configsync.EventStoreBehind: events.RulesStoreBehind,
+	configsync.EventForked:      events.RulesForked,
+	configsync.EventInvalid:     events.RulesInvalid,
+	configsync.EventStoreDown:   events.StoreUnavailable,
+	configsync.EventStoreUp:     events.StoreAvailable,
+	configsync.EventHistory:     events.RulesHistoryFailed,
+}
+
+// rulesEvent logs what configsync reports. Rules that come into force are
+// logged where they are applied, whatever way they came.
+func (d *Daemon) rulesEvent(e configsync.Event) {
+	kind, ok := rulesEvents[e.Kind]
+	if !ok {
+		return
+	}
+	d.log.Log(kind).Str("key", configsync.Key).Uint64("in_force", e.InForce.Revision).Uint64("stored", e.Stored.Revision).Err(e.Err).Send()
+}
+
+var memberEvents = map[membership.EventKind]events.Event{
+	membership.EventSuspected:  events.MemberSuspected,
+	membership.EventRefuted:    events.SuspicionRefuted,
+	membership.EventStates:     events.MemberStates,
+	membership.EventDistrust:   events.Distrust,
+	membership.EventTrust:      events.Trust,
+	membership.EventPaused:     events.Paused,
+	membership.EventSuperseded: events.Superseded,
+	membership.EventMalformed:  events.MalformedNews,
+}
+
+// membersEvent logs what the membership reports.
+func (d *Daemon) membersEvent(e membership.Event) {
+	d.log.Log(memberEvents[e.Kind]).Str("member", string(e.Member)).Str("detail", e.Detail).Send()
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,15 +6,16 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
-	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 
 	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/ledger"
 	"jujubestile.example/jujubestile/internal/model"
 )
@@ -87,7 +88,7 @@
 	Ledger     Ledger
 	Classifier Classifier
 	Directory  Directory
-	Log        zerolog.Logger
+	Log        events.Logger
 	// DefaultTimeout is the time to the deadline of requests that state none.
 	// Default 10 s.
 	DefaultTimeout time.Duration
@@ -199,7 +200,7 @@
 			if v == http.ErrAbortHandler || tracked.began {
 				panic(http.ErrAbortHandler)
 			}
-			h.cfg.Log.Error().Interface("panic", v).Str("path", r.URL.Path).Stack().Msg("handler panicked")
+			h.cfg.Log.Log(events.HandlerPanic).Interface("panic", v).Str("path", r.URL.Path).Bytes("stack", debug.Stack()).Send()
 			newProblem(http.StatusInternalServerError, "internal", "Internal error", model.OutcomeUnknown).write(w)
 		}()
 		next.ServeHTTP(tracked, r)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,9 +17,8 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/ledger"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
@@ -53,7 +52,7 @@
 
 func newTestHandler(do doFunc) (*Handler, *ledger.Ledger) {
 	l := ledger.New(ledger.Config{Self: "a", Inc: 1, Members: alone{}})
-	return New(Config{Dispatcher: do, Ledger: FromLedger(l), Classifier: ByRules(testRules), Directory: alone{}, BodyTimeout: 100 * time.Millisecond, Log: zerolog.Nop()}), l
+	return New(Config{Dispatcher: do, Ledger: FromLedger(l), Classifier: ByRules(testRules), Directory: alone{}, BodyTimeout: 100 * time.Millisecond, Log: events.Nop()}), l
 }
 
 func ok(_ context.Context, r *dispatch.Request, _ dispatch.Claim) Result {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -42,3 +42,85 @@
 		"The store answers again.",
 		"None."}
 )
+
+// Events of requests.
+var (
+	RequestNotAnswered = Event{301, "request not run", zerolog.DebugLevel,
+		"A request was refused and no endpoint ran it. The field reason says why: queue-full and deadline mean overload, shift-capped a cap on a traffic shift, no-endpoint that no endpoint is left, no-intent that the witness of its key did not answer.",
+		"Look at the rate by reason in /debug/vars. queue-full or deadline: add capacity or lower the load. shift-capped: raise the cap if the move is wanted. no-endpoint: check the endpoints of the service."}
+	RequestUnknown = Event{302, "request outcome unknown", zerolog.WarnLevel,
+		"A request was sent to an endpoint and no whole answer came back, so it may have run.",
+		"Single ones follow the loss of an endpoint. Many for one endpoint: drain it. The user can look the request up by its key."}
+	HandlerPanic = Event{303, "handler panicked", zerolog.ErrorLevel,
+		"A request met a fault in the program. Its connection was closed; other requests go on.",
+		"Report the line with its stack."}
+	Quarantined = Event{304, "request kind quarantined", zerolog.WarnLevel,
+		"Requests with the same content crashed several endpoints. They are refused for 10 minutes.",
+		"Find the caller by the path in its trace and mend the endpoint. The quarantine ends by itself."}
+)
+
+// Events of rules.
+var (
+	RulesInForce = Event{401, "rules in force", zerolog.InfoLevel,
+		"A rules revision has come into force on this instance.",
+		"None."}
+	RulesStoreBehind = Event{402, "store had older rules", zerolog.WarnLevel,
+		"The store held an older revision than this instance, as after the restore of a backup. The newer one was written back.",
+		"Check with jujubectl rules show that the rules are the wanted ones."}
+	RulesForked = Event{403, "rules forked", zerolog.ErrorLevel,
+		"The store held rules that do not descend from those in force. One of the two was issued again with a higher revision.",
+		"Check with jujubectl rules history which edits are in force, and repeat those that are not."}
+	RulesInvalid = Event{404, "rules in the store invalid", zerolog.ErrorLevel,
+		"The store's value of the rules cannot be read. The rules in force stay.",
+		"Apply the rules file again with jujubectl rules apply."}
+	RulesHistoryFailed = Event{405, "rules history not written", zerolog.WarnLevel,
+		"An edit is accepted and its entry in the history could not be written.",
+		"None. The history lacks one revision."}
+)
+
+// Events of capacity.
+var (
+	Admitting = Event{501, "admission by own slots changed", zerolog.InfoLevel,
+		"The instance begins or ceases to start requests, by the field admitting. It ceases when it was paused or has not been confirmed for 30 s.",
+		"If admitting stays false: check the platform's list and the store; the instance must appear in the list under its name."}
+	LoanReturnFailed = Event{502, "early return of slots failed", zerolog.DebugLevel,
+		"A peer could not be told that lent slots are free again. The loan ends by itself after 10 s.",
+		"None."}
+	RecordWritten = Event{503, "capacity record written", zerolog.DebugLevel,
+		"The ownership of slots in the region has changed.",
+		"None."}
+	SlotsNotReturned = Event{505, "slots not given up", zerolog.WarnLevel,
+		"The instance stops and could not give up its slots. Others take them 60 s after it has left the platform's list.",
+		"None, unless it happens while the store is available."}
+	NotHandedOver = Event{506, "key records not handed over", zerolog.WarnLevel,
+		"The instance stops and its successor did not take its key records. Their witnesses answer for them.",
+		"None for a single instance."}
+)
+
+// Events of the membership.
+var (
+	MemberSuspected = Event{601, "member suspected", zerolog.InfoLevel,
+		"A neighbour does not answer. It is dead after 3 s if it does not refute this.",
+		"None."}
+	SuspicionRefuted = Event{602, "own suspicion refuted", zerolog.InfoLevel,
+		"Others suspected this instance and it has told them that it lives.",
+		"If it repeats: check the load and the network of this instance."}
+	MemberStates = Event{603, "member states changed", zerolog.InfoLevel,
+		"Members have changed their state; detail names them.",
+		"If a whole failure domain is dead: check its network and power."}
+	Distrust = Event{604, "own measurements distrusted", zerolog.WarnLevel,
+		"Over half of the neighbours do not answer. The fault is likely here, so the last view stays in use.",
+		"Check the network of this instance."}
+	Trust = Event{605, "own measurements trusted again", zerolog.InfoLevel,
+		"The neighbours answer again.",
+		"None."}
+	Paused = Event{606, "process was paused", zerolog.WarnLevel,
+		"The process did not run for some time. It asks for a new confirmation before it starts requests.",
+		"If it repeats: look for processor contention or a host that suspends its guests."}
+	Superseded = Event{607, "later incarnation of this instance seen", zerolog.ErrorLevel,
+		"Another process runs under this instance's name and started later.",
+		"Stop one of the two."}
+	MalformedNews = Event{608, "malformed news", zerolog.WarnLevel,
+		"A peer sent news that cannot be read. It was dropped.",
+		"Check that all instances run the same version."}
+)
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -9,13 +9,16 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"jujubestile.example/jujubestile/internal/configsync"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/platform"
 	"jujubestile.example/jujubestile/internal/standin"
+	"jujubestile.example/jujubestile/internal/store"
 )
 
 // binary is the daemon, built once for all tests.
@@ -84,12 +87,34 @@
 		f.addEntry(i)
 	}
 	f.platform.Publish()
+	f.putRules(cfg)
 	for _, p := range f.entries {
 		f.start(p)
 	}
 	return f
 }
 
+// putRules stores the first rules document.
+func (f *fleet) putRules(cfg fleetConfig) {
+	var b strings.Builder
+	for i, r := range fleetRegions {
+		fmt.Fprintf(&b, "region %s %s-a # test\n", r, r)
+		slots := 4 * ((cfg.endpoints + len(fleetRegions) - 1 - i) / len(fleetRegions))
+		if slots > 0 {
+			fmt.Fprintf(&b, "capacity %s entries %d # test\n", r, slots)
+		}
+	}
+	b.WriteString("service entries priority 1 # test\n")
+	doc := configsync.Document{Head: configsync.Head{Revision: 1, EditID: "first", Author: "test", Time: time.Now()}, Text: b.String()}
+	value, err := doc.Encode()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := f.kv.CompareAndSwap(f.t.Context(), configsync.Key, store.Absent, value, 0); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 func (f *fleet) addEndpoint(i int, serviceTime time.Duration) {
 	e, err := standin.StartEndpoint("127.0.0.1:0", standin.EndpointConfig{Slots: 4, Queue: 4, ServiceTime: serviceTime})
 	if err != nil {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -119,3 +119,8 @@
 func Inject(ctx context.Context, h http.Header) {
 	propagator.Inject(ctx, propagation.HeaderCarrier(h))
 }
+
+// Recording reports whether the span will be written.
+func (s Span) Recording() bool {
+	return s.span.IsRecording()
+}
