Accrue minimum shares always and bound their debt

Cause: a priority earned slot time only while work waited and owed up to 1 s of its share for slots that were free before the flood, so it got less than its minimum for the first second.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -16,8 +16,8 @@
 	// are tried when the Router has no slot for the first. A slot on loan may
 	// end too early for one request and not for another.
 	deadlineTries = 4
-	// creditTime bounds the slot time that a priority saves or owes against
-	// its minimum share.
+	// creditTime bounds the slot time that a priority saves against its
+	// minimum share.
 	creditTime = time.Second
 	// serviceWeight is the weight of a new sample in the service time.
 	serviceWeight = 0.1
@@ -274,8 +274,12 @@
 // share is kept over time because an instance often has so few slots that the
 // share of them is less than one.
 func (q *queue) owed(c int) bool {
-	most := int(math.Ceil(q.minimum[c] * float64(q.slots)))
-	return q.minimum[c] > 0 && q.credit[c] > 0 && q.inFlight[c] < most
+	return q.minimum[c] > 0 && q.credit[c] > 0 && q.inFlight[c] < q.most(c)
+}
+
+// most is how many slots a class gets at once by its minimum share.
+func (q *queue) most(c int) int {
+	return int(math.Ceil(q.minimum[c] * float64(q.slots)))
 }
 
 // withinReserve reports whether the class may take one more slot.
--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -106,8 +106,8 @@
 	q.held = keep
 }
 
-// accrue adds the slot time that each class is due since the last call, while
-// it has waiting work, and subtracts what it used.
+// accrue adds the slot time that each class is due since the last call and
+// subtracts what it used.
 func (q *queue) accrue(now time.Time) {
 	dt := now.Sub(q.creditedAt).Seconds()
 	if q.creditedAt.IsZero() {
@@ -119,15 +119,23 @@
 			continue
 		}
 		due := m * float64(q.slots)
-		if q.waiting[c].n > 0 {
-			q.credit[c] += due * dt
-		}
-		q.credit[c] -= float64(q.inFlight[c]) * dt
-		bound := max(due*creditTime.Seconds(), 2*q.serviceTime[c]/float64(time.Second))
-		q.credit[c] = max(-bound, min(bound, q.credit[c]))
+		q.credit[c] += (due - float64(q.inFlight[c])) * dt
+		saved := due * creditTime.Seconds()
+		q.credit[c] = max(-q.debt(c, saved), min(saved, q.credit[c]))
 	}
 }
 
+// debt is how much slot time a class owes at most: the runs that its minimum
+// share grants at once. What it used beyond that while slots were free is not a
+// debt. Runs that take longer than the mean are partly forgiven, so that the
+// share comes out slightly above the minimum rather than below it.
+func (q *queue) debt(c int, unmeasured float64) float64 {
+	if q.serviceTime[c] == 0 {
+		return unmeasured
+	}
+	return float64(q.most(c)) * q.serviceTime[c] / float64(time.Second)
+}
+
 func (q *queue) preemptible(t *ticket, cancel func()) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
