Refuse callers' repetitions beyond the budget while a service is failing

Cause: callers and instances each had a budget of 10 %, and a caller repeats a request that was not run. A repetition in an overload is still served: the service is not failing then, and the caller was told to come again.

Also takes a Transport that returns neither an answer nor an error for an interrupted attempt.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -34,6 +34,9 @@
 	ReasonInterrupted Reason = "interrupted"
 	// ReasonPreempted: the request gave its slot to a more urgent one.
 	ReasonPreempted Reason = "preempted"
+	// ReasonRetryBudget: the service is failing, and the caller repeated the
+	// request beyond the retry budget.
+	ReasonRetryBudget Reason = "retry-budget"
 	// ReasonQuarantined: requests of this kind crashed endpoints.
 	ReasonQuarantined Reason = "quarantined"
 )
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -87,10 +87,10 @@
 		ctx = limited
 	}
 	x := exchange{d: d, r: r, claim: claim, policy: d.cfg.Retry.Service(r.Service)}
-	if r.Attempt > 0 {
-		x.policy.Budget.Repeated()
-	} else {
-		x.policy.Budget.Deposit()
+	if !x.withinBudget() {
+		x.last.reason = ReasonRetryBudget
+		x.last.retryAfter = time.Second
+		return x.result()
 	}
 	return x.run(ctx)
 }
@@ -125,6 +125,17 @@
 	final bool
 }
 
+// withinBudget counts the request. A caller's repetition beyond the budget is
+// refused while the service is failing: it would only add attempts. In an
+// overload it is served like any other, as it was told to come again.
+func (x *exchange) withinBudget() bool {
+	if x.r.Attempt == 0 {
+		x.policy.Budget.Deposit()
+		return true
+	}
+	return x.policy.Budget.Repeated() || !x.policy.Failing()
+}
+
 func (x *exchange) run(ctx context.Context) Result {
 	if q := x.d.cfg.Quarantine; q != nil {
 		x.fingerprint = Fingerprint(x.r)
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -21,6 +21,7 @@
 	"200": status(200), "500": status(500), "503": status(503),
 	"not sent": fail(dispatch.ErrNotSent), "refused": fail(dispatch.ErrRefused),
 	"interrupted": fail(dispatch.ErrInterrupted), "hang": hang, "unknown error": fail(errors.New("x")),
+	"nothing": fail(nil),
 }
 
 // warmUp fills the retry budget and the latency histogram.
@@ -39,7 +40,7 @@
 // not run is reported only if it is true; the intent is recorded once and
 // before the first sending; slots and outstanding counts all return.
 func TestDoProperty(t *testing.T) {
-	names := []string{"200", "500", "503", "not sent", "refused", "interrupted", "hang", "unknown error"}
+	names := []string{"200", "500", "503", "not sent", "refused", "interrupted", "hang", "unknown error", "nothing"}
 	rapid.Check(t, func(rt *rapid.T) {
 		script := rapid.SliceOfN(rapid.SampledFrom(names), 1, 5).Draw(rt, "script")
 		r := &dispatch.Request{
@@ -197,6 +198,28 @@
 	}
 }
 
+// Guards against budgets of callers and instances that multiply: the callers
+// here repeat every request that failed.
+func TestAttemptsWithCallersRepetitions(t *testing.T) {
+	p := &parts{}
+	refused := 0
+	synctest.Test(t, func(*testing.T) {
+		d := p.dispatcher()
+		p.endpoints, p.script = 6, []step{endings["not sent"]}
+		for range 1000 {
+			r := &dispatch.Request{Service: "s", Priority: 1}
+			for r.Attempt = 0; r.Attempt < 3; r.Attempt++ {
+				if d.Do(context.Background(), r, p).Reason == dispatch.ReasonRetryBudget {
+					refused++
+				}
+			}
+		}
+	})
+	if n := len(p.sends); n > 1100 || refused < 1800 {
+		t.Errorf("%d attempts of 1000 requests, %d repetitions refused", n, refused)
+	}
+}
+
 // Guards against a preempted request that is lost: it is tried again.
 func TestPreempted(t *testing.T) {
 	p := &parts{}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -61,26 +61,30 @@
 	start := time.Now()
 	response, err := d.cfg.Transport.Send(ctx, to, x.r)
 	now := time.Now()
-	s := sent{response: response, err: err}
-	if err != nil {
-		err = known(err)
-		s.err = err
-	}
-	if err != nil && ctx.Err() != nil {
+	s := sent{response: response}
+	s.err = known(response, err)
+	if s.err != nil && ctx.Err() != nil {
 		s.cause = context.Cause(ctx)
 	}
 	if q := d.cfg.Quarantine; q != nil {
-		q.Finished(x.fingerprint, to.ID, s.cause == nil && errors.Is(err, ErrInterrupted))
+		q.Finished(x.fingerprint, to.ID, s.cause == nil && errors.Is(s.err, ErrInterrupted))
+	}
+	if s.cause == nil && !errors.Is(s.err, ErrRefused) {
+		// A cancelled attempt shows nothing about the service, a refusal only load.
+		x.policy.Attempted(s.err != nil || retryableStatus(s.response.Status))
 	}
 	x.observe(now, now.Sub(start), to, s)
 	x.release(caller, now, now.Sub(start), permit, to, s)
 	return s
 }
 
-// known maps an error outside a Transport's contract to the one that promises
+// known maps a result outside a Transport's contract to the error that promises
 // least.
-func known(err error) error {
-	if errors.Is(err, ErrNotSent) || errors.Is(err, ErrRefused) || errors.Is(err, ErrInterrupted) {
+func known(r *Response, err error) error {
+	if err == nil && r == nil {
+		return ErrInterrupted
+	}
+	if err == nil || errors.Is(err, ErrNotSent) || errors.Is(err, ErrRefused) || errors.Is(err, ErrInterrupted) {
 		return err
 	}
 	return errors.WithType(err, ErrInterrupted)
@@ -132,7 +136,7 @@
 // conclude turns the end of an attempt into the exchange's state.
 func (x *exchange) conclude(s sent) {
 	switch {
-	case s.err == nil && s.response != nil:
+	case s.err == nil:
 		x.last.response = s.response
 		x.last.reason = ReasonAnswered
 		x.last.final = !retryableStatus(s.response.Status)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -20,6 +20,9 @@
 	maxSaved = 10 * costPerRetry
 )
 
+// failureWeight is the weight of a new attempt in the failure rate.
+const failureWeight = 0.05
+
 // Backoff between attempts is uniform in (0, BackoffBase << attempt], at most
 // BackoffMax (full jitter).
 const (
@@ -55,12 +58,15 @@
 }
 
 // Repeated counts a request that its caller repeats. It takes a token like a
-// retry of ours, so that the budgets of callers and instances do not multiply.
-// The caller's repetition is never refused for it; the debt is bounded.
-func (b *Budget) Repeated() {
+// retry of ours, so that the budgets of callers and instances do not multiply,
+// and reports whether there was one. The debt of repetitions beyond the budget
+// is bounded.
+func (b *Budget) Repeated() bool {
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	covered := b.saved >= costPerRetry
 	b.saved = max(b.saved-costPerRetry, -maxSaved)
-	b.mu.Unlock()
+	return covered
 }
 
 // Refund returns the token of an attempt that was not made.
@@ -83,6 +89,9 @@
 type ServicePolicy struct {
 	Budget  Budget
 	latency quantile
+
+	failureMu sync.Mutex
+	failures  float64 // moving average of 0 (answer) and 1 (failure)
 }
 
 // NewPolicy returns a policy without saved tokens. It owns rnd.
@@ -125,6 +134,24 @@
 	s.latency.add(latency)
 }
 
+// Attempted records whether an attempt failed.
+func (s *ServicePolicy) Attempted(failed bool) {
+	x := 0.0
+	if failed {
+		x = 1
+	}
+	s.failureMu.Lock()
+	s.failures += failureWeight * (x - s.failures)
+	s.failureMu.Unlock()
+}
+
+// Failing reports whether most recent attempts failed.
+func (s *ServicePolicy) Failing() bool {
+	s.failureMu.Lock()
+	defer s.failureMu.Unlock()
+	return s.failures > 0.5
+}
+
 // HedgeDelay returns the time after which a second attempt is worth its token:
 // the 95th percentile of answered attempts. It reports false while there are
 // too few samples.
