--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -25,9 +25,6 @@
 	// maxUtilization bounds a report, so that one misleading report cannot
 	// exclude an endpoint: it costs at most a factor of 1 / (1 - 0.9) = 10.
 	maxUtilization = 0.9
-	// slowFactor is how many times the mean latency makes an endpoint slow. Its
-	// report of a low load is not believed then.
-	slowFactor = 1.5
 	// defaultLatency is the estimate before the first measurement.
 	defaultLatency = float64(20 * time.Millisecond)
 )
@@ -220,11 +217,7 @@
 		return e.pool.utilization
 	}
 	w := math.Exp(-float64(now.Sub(e.reportedAt)) / float64(reportDecay))
-	u := w*e.utilization + (1-w)*e.pool.utilization
-	if e.latencyAt(now) > slowFactor*e.pool.meanLatency() {
-		return max(u, e.pool.utilization)
-	}
-	return u
+	return w*e.utilization + (1-w)*e.pool.utilization
 }
 
 // cost is what a further request there is expected to cost; the lower the
