--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -25,6 +25,8 @@
 	// maxUtilization bounds a report, so that one misleading report cannot
 	// exclude an endpoint: it costs at most a factor of 1 / (1 - 0.9) = 10.
 	maxUtilization = 0.9
+	// slowFactor is how many times the mean latency makes an endpoint slow.
+	slowFactor = 1.5
 	// defaultLatency is the estimate before the first measurement.
 	defaultLatency = float64(20 * time.Millisecond)
 )
@@ -81,9 +83,11 @@
 }
 
 // justFreed reports whether the endpoint's last answer is so new that the slot
-// which it freed is most likely still free.
+// which it freed is most likely still free. Slow endpoints are left out: each
+// would keep the work that it has.
 func (e *endpoint) justFreed(now time.Time) bool {
-	return e.inSubset && !e.gone && now.Sub(e.measuredAt) <= freedFor
+	return e.inSubset && !e.gone && now.Sub(e.measuredAt) <= freedFor &&
+		e.latency <= slowFactor*e.pool.meanLatency()
 }
 
 func (e *endpoint) probeDue(now time.Time) bool {
