--- a/internal/policytest/policy_test.go
+++ b/internal/policytest/policy_test.go
@@ -15,6 +15,7 @@
 	warm      = 3 * second
 	measured  = 5 * second
 	endOfLoad = warm + measured
+	floodRuns = 8
 )
 
 // measure plays a scenario in virtual time on one processor, so that the
@@ -23,13 +24,14 @@
 	t.Helper()
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	var f figures
-	variant := map[bool]string{true: "naive", false: "product"}[naive]
 	synctest.Test(t, func(*testing.T) {
 		w := newWorld(s, naive)
 		w.run()
 		f = w.figures()
 	})
-	fmt.Println(row(s, variant, f))
+	if s.seed == 0 {
+		fmt.Println(row(s, map[bool]string{true: "naive", false: "product"}[naive], f))
+	}
 	return f
 }
 
@@ -81,15 +83,27 @@
 }
 
 // Guards the target that urgent work under a bulk overload of 10 x capacity
-// stays within 5 % of its p99 and share without one.
+// stays within 5 % of its p99 and share without one. The p99 of one run rests on
+// about 10 requests, so the test compares the means of several runs.
 func TestPolicyBulkFlood(t *testing.T) {
-	none := measure(t, base("bulk-flood-none"), false)
-	s := base("bulk-flood")
-	s.loads = append(mix(), load{model.PriorityBulk, 10, warm - second, endOfLoad})
-	_, flood := both(t, s)
-	within(t, "critical p99 to that without a flood", ms(flood.by[1].p99)/ms(none.by[1].p99), 0, 1.05)
-	within(t, "critical share to that without a flood", flood.share[1]/none.share[1], 0.95, 1.05)
-	within(t, "critical work answered", flood.answered(1), 0.999, 1)
+	var p99, share [2]float64
+	for seed := range uint64(floodRuns) {
+		none, flood := base("bulk-flood-none"), base("bulk-flood")
+		flood.loads = append(mix(), load{model.PriorityBulk, 10, warm - second, endOfLoad})
+		none.seed, flood.seed = seed, seed
+		if seed == 0 {
+			measure(t, flood, true)
+		}
+		for i, s := range []scenario{none, flood} {
+			f := measure(t, s, false)
+			p99[i] += ms(f.by[1].p99) / floodRuns
+			share[i] += f.share[1] / floodRuns
+			within(t, "critical work answered", f.answered(1), 0.999, 1)
+		}
+	}
+	fmt.Printf("policy scenario=bulk-flood-ratio variant=product runs=%d p1_p99_ratio=%.3f p1_share_ratio=%.3f\n", floodRuns, p99[1]/p99[0], share[1]/share[0])
+	within(t, "critical p99 to that without a flood", p99[1]/p99[0], 0, 1.05)
+	within(t, "critical share to that without a flood", share[1]/share[0], 0.95, 1.05)
 }
 
 // Guards the target of a goodput of at least 95 % of capacity under an overload
--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -63,6 +63,8 @@
 	events  []event
 	// prepare runs before the start.
 	prepare func(w *world)
+	// seed tells repetitions with other random numbers apart.
+	seed uint64
 	// from and to enclose the measured time.
 	from, to time.Duration
 	minimum  map[model.Priority]float64
@@ -156,7 +158,7 @@
 }
 
 func (w *world) newNode(i int, id model.InstanceID, t *transport, r *router) *node {
-	rnd := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(i), n)) }
+	rnd := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(i)+1000*w.s.seed, n)) }
 	if w.naive {
 		n := &naive{transport: t, rnd: rnd(1), free: naiveLimit}
 		return &node{id: id, do: n, naive: n}
@@ -223,7 +225,7 @@
 	go w.sampleLoads(ctx)
 	for i, l := range w.s.loads {
 		w.callers.Add(1)
-		go w.offer(l, rand.New(rand.NewPCG(uint64(i), 7)))
+		go w.offer(l, rand.New(rand.NewPCG(uint64(i), 7+w.s.seed)))
 	}
 	w.callers.Wait()
 	stop()
