--- a/internal/policytest/endpoint.go
+++ b/internal/policytest/endpoint.go
@@ -214,6 +214,25 @@
 	return t.run(ctx, e, r, oneWay)
 }
 
+// probeTime is what a probe costs beside the round trip.
+const probeTime = 6 * time.Millisecond
+
+// Probe implements dispatch.Prober.
+func (t *transport) Probe(ctx context.Context, to model.Endpoint) error {
+	e := t.world.endpoints[to.ID]
+	if e.isLost() {
+		sleep(ctx, connectTimeout)
+		return dispatch.ErrNotSent
+	}
+	e.mu.Lock()
+	down := e.refusing || e.failing
+	e.mu.Unlock()
+	if !sleep(ctx, 2*t.oneWay(e)+probeTime) || down {
+		return dispatch.ErrNotSent
+	}
+	return nil
+}
+
 // noAnswer waits on a connection that went silent; then its pool is closed.
 func (t *transport) noAnswer(ctx context.Context, e *endpoint) (*dispatch.Response, error) {
 	if sleep(ctx, headerTimeout) {
--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -98,6 +98,7 @@
 	balancer *balance.Balancer
 	naive    *naive
 	product  *dispatch.Dispatcher
+	prober   dispatch.Prober
 }
 
 // call is what one caller experienced.
@@ -163,14 +164,14 @@
 		n := &naive{transport: t, rnd: rnd(1), free: naiveLimit}
 		return &node{id: id, do: n, naive: n}
 	}
-	b := balance.New(balance.Config{Instance: id, Rand: rnd(1)})
+	b := balance.New(balance.Config{Instance: id, Rand: rnd(1), ActiveProbes: true})
 	b.SetInstances(w.start, instances)
 	a := admission.New(r)
 	a.SetMinimum(w.s.minimum)
 	d := dispatch.New(dispatch.Config{
 		Region: t.region, Admission: a, Balancer: b, Transport: t, Retry: retry.NewPolicy(rnd(2)),
 	})
-	return &node{id: id, do: d, balancer: b, product: d}
+	return &node{id: id, do: d, balancer: b, product: d, prober: t}
 }
 
 func (w *world) list() []model.Endpoint {
@@ -223,6 +224,11 @@
 		time.AfterFunc(e.at, func() { e.do(w) })
 	}
 	go w.sampleLoads(ctx)
+	for _, n := range w.nodes {
+		if n.product != nil {
+			go dispatch.RunProbes(ctx, n.balancer, n.prober)
+		}
+	}
 	for i, l := range w.s.loads {
 		w.callers.Add(1)
 		go w.offer(l, rand.New(rand.NewPCG(uint64(i), 7+w.s.seed)))
