--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -25,6 +25,8 @@
 	// maxUtilization bounds a report, so that one misleading report cannot
 	// exclude an endpoint: it costs at most a factor of 1 / (1 - 0.9) = 10.
 	maxUtilization = 0.9
+	// slowFactor is how many times the mean latency makes an endpoint slow.
+	slowFactor = 1.5
 	// defaultLatency is the estimate before the first measurement.
 	defaultLatency = float64(20 * time.Millisecond)
 )
@@ -80,6 +82,14 @@
 	return !e.ejected && !e.alone && !now.Before(e.pausedUntil)
 }
 
+// justFreed reports whether the endpoint's last answer is so new that the slot
+// which it freed is most likely still free. Slow endpoints are left out: each
+// would keep the work that it has.
+func (e *endpoint) justFreed(now time.Time) bool {
+	return e.inSubset && !e.gone && now.Sub(e.measuredAt) <= freedFor &&
+		e.latency <= slowFactor*e.pool.meanLatency()
+}
+
 func (e *endpoint) probeDue(now time.Time) bool {
 	return e.ejected && !e.probing && !now.Before(e.probeAt)
 }
@@ -110,6 +120,9 @@
 	}
 	e.sample(now, float64(o.Latency))
 	e.pool.sample(float64(o.Latency))
+	if o.Utilization < 1 { // otherwise a request that waits there has the slot
+		e.pool.freed = e
+	}
 }
 
 // observeSlow learns from an attempt that was cancelled: the latency is at
--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -63,6 +63,8 @@
 	events  []event
 	// prepare runs before the start.
 	prepare func(w *world)
+	// seed tells repetitions with other random numbers apart.
+	seed uint64
 	// from and to enclose the measured time.
 	from, to time.Duration
 	minimum  map[model.Priority]float64
@@ -79,6 +81,7 @@
 	order     []*endpoint
 	endpoints map[model.EndpointID]*endpoint
 	nodes     []*node
+	slots     *slots
 	sends     atomic.Int64
 	callers   sync.WaitGroup
 
@@ -95,6 +98,7 @@
 	balancer *balance.Balancer
 	naive    *naive
 	product  *dispatch.Dispatcher
+	prober   dispatch.Prober
 }
 
 // call is what one caller experienced.
@@ -136,7 +140,11 @@
 }
 
 func (w *world) addNodes() {
-	all := &slots{order: w.s.regions, size: map[model.Region]int{}, free: map[model.Region]int{}}
+	all := &slots{
+		order: w.s.regions, size: map[model.Region]int{}, free: map[model.Region]int{},
+		held: map[model.Priority]time.Duration{}, from: w.start.Add(w.s.from), to: w.start.Add(w.s.to),
+	}
+	w.slots = all
 	for _, e := range w.order {
 		all.size[e.Region] += e.Slots
 		all.free[e.Region] += e.Slots
@@ -151,19 +159,19 @@
 }
 
 func (w *world) newNode(i int, id model.InstanceID, t *transport, r *router) *node {
-	rnd := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(i), n)) }
+	rnd := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(i)+1000*w.s.seed, n)) }
 	if w.naive {
 		n := &naive{transport: t, rnd: rnd(1), free: naiveLimit}
 		return &node{id: id, do: n, naive: n}
 	}
-	b := balance.New(balance.Config{Instance: id, Rand: rnd(1)})
+	b := balance.New(balance.Config{Instance: id, Rand: rnd(1), ActiveProbes: true})
 	b.SetInstances(w.start, instances)
 	a := admission.New(r)
 	a.SetMinimum(w.s.minimum)
 	d := dispatch.New(dispatch.Config{
 		Region: t.region, Admission: a, Balancer: b, Transport: t, Retry: retry.NewPolicy(rnd(2)),
 	})
-	return &node{id: id, do: d, balancer: b, product: d}
+	return &node{id: id, do: d, balancer: b, product: d, prober: t}
 }
 
 func (w *world) list() []model.Endpoint {
@@ -216,9 +224,14 @@
 		time.AfterFunc(e.at, func() { e.do(w) })
 	}
 	go w.sampleLoads(ctx)
+	for _, n := range w.nodes {
+		if n.product != nil {
+			go dispatch.RunProbes(ctx, n.balancer, n.prober)
+		}
+	}
 	for i, l := range w.s.loads {
 		w.callers.Add(1)
-		go w.offer(l, rand.New(rand.NewPCG(uint64(i), 7)))
+		go w.offer(l, rand.New(rand.NewPCG(uint64(i), 7+w.s.seed)))
 	}
 	w.callers.Wait()
 	stop()
