ledger, entry: tests of bounds, duplicates, planned stops and killed instances

transport: a status outside 200 to 599 is an interrupted request; WriteHeader would panic for one below 100. Errors tell whether the endpoint ended the connection, which the quarantine needs.

--- /dev/null
+++ b/internal/entry/fleet_test.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"jujubestile.example/jujubestile/client"
+	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/ledger"
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/peer"
+	"jujubestile.example/jujubestile/internal/transport"
+)
+
+// testFleet is three entry instances with ledgers, and one endpoint.
+type testFleet struct {
+	tr       *transport.Transport
+	endpoint model.Endpoint
+	runs     atomic.Int64
+	// killAt is the phase in which instance a dies.
+	killAt string
+
+	mu      sync.Mutex
+	ledgers map[model.InstanceID]*ledger.Ledger
+	servers map[model.InstanceID]*httptest.Server
+	peers   map[model.InstanceID]*rpc.Client
+}
+
+func newTestFleet(t *testing.T, killAt string) *testFleet {
+	f := &testFleet{tr: transport.New(transport.Config{}), killAt: killAt, ledgers: map[model.InstanceID]*ledger.Ledger{},
+		servers: map[model.InstanceID]*httptest.Server{}, peers: map[model.InstanceID]*rpc.Client{}}
+	t.Cleanup(f.tr.Close)
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.runs.Add(1)
+		w.Header().Set("Retry-Count", "0")
+		w.Write([]byte("booked"))
+	}))
+	t.Cleanup(endpoint.Close)
+	f.endpoint = model.Endpoint{ID: "e", Addr: netip.MustParseAddrPort(endpoint.Listener.Addr().String())}
+	for _, id := range []model.InstanceID{"a", "b", "c"} {
+		f.start(t, id)
+	}
+	return f
+}
+
+func (f *testFleet) start(t *testing.T, id model.InstanceID) {
+	l := ledger.New(ledger.Config{Self: id, Inc: 1, Peers: f, Members: member{f, id}})
+	h := New(Config{Dispatcher: doFunc(func(ctx context.Context, r *dispatch.Request, c dispatch.Claim) Result {
+		return f.do(ctx, id, r, c)
+	}), Ledger: FromLedger(l), Classifier: ByRules(testRules), Directory: member{f, id}, Log: zerolog.Nop()})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id == "a" && f.killAt == "after" && r.Method == "POST" {
+			h.ServeHTTP(httptest.NewRecorder(), r)
+			l.Flush(context.Background())
+			f.kill()
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	server := rpc.NewServer()
+	if err := server.RegisterName(ledger.ServiceName, l.Service()); err != nil {
+		t.Fatal(err)
+	}
+	near, far := net.Pipe()
+	go server.ServeConn(far)
+	t.Cleanup(func() { near.Close() })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ledgers[id], f.servers[id], f.peers[id] = l, srv, rpc.NewClient(near)
+}
+
+// kill makes instance a unreachable.
+func (f *testFleet) kill() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers["a"] = nil
+	go f.servers["a"].CloseClientConnections()
+}
+
+func (f *testFleet) Call(ctx context.Context, to model.InstanceID, method string, args, reply any) error {
+	f.mu.Lock()
+	c := f.peers[to]
+	f.mu.Unlock()
+	if c == nil || c.Call(method, args, reply) != nil {
+		return peer.ErrUnreachable
+	}
+	return nil
+}
+
+func (f *testFleet) do(ctx context.Context, id model.InstanceID, r *dispatch.Request, c dispatch.Claim) Result {
+	if id == "a" && f.killAt == "queued" {
+		f.kill()
+		<-ctx.Done()
+		return Result{Outcome: model.OutcomeNotRun}
+	}
+	if err := c.Intent(ctx); err != nil {
+		return Result{Outcome: model.OutcomeNotRun}
+	}
+	resp, err := f.tr.Send(ctx, f.endpoint, r)
+	if id == "a" && f.killAt == "running" {
+		f.kill()
+		<-ctx.Done()
+	}
+	if err != nil {
+		return Result{Outcome: model.OutcomeUnknown}
+	}
+	return Result{Outcome: model.OutcomeAnswered, Response: resp}
+}
+
+type member struct {
+	f  *testFleet
+	id model.InstanceID
+}
+
+func (m member) Witness([]model.InstanceID) (model.InstanceID, model.Incarnation, bool) {
+	return map[model.InstanceID]model.InstanceID{"a": "c", "b": "c", "c": "b"}[m.id], 1, true
+}
+
+func (m member) Successor(model.InstanceID, model.Incarnation) (model.InstanceID, bool) {
+	return "", false
+}
+
+func (m member) Entries(netip.Addr) []Entry {
+	m.f.mu.Lock()
+	defer m.f.mu.Unlock()
+	var out []Entry
+	for _, id := range []model.InstanceID{"a", "b"} {
+		addr := netip.MustParseAddrPort(m.f.servers[id].Listener.Addr().String())
+		out = append(out, Entry{ID: id, Addr: addr, KeyPrefix: m.f.ledgers[id].Prefix()})
+	}
+	return out
+}
+
+// Guards against a payment that is lost or charged twice when the entry
+// instance dies with it, from the callers' package to the endpoint.
+func TestKilledInstance(t *testing.T) {
+	for killAt, want := range map[string]struct {
+		answered bool
+		runs     int64
+	}{"": {true, 1}, "queued": {true, 1}, "after": {true, 1}, "running": {false, 1}} {
+		f := newTestFleet(t, killAt)
+		c := client.New(client.Config{Bootstrap: []string{f.servers["c"].Listener.Addr().String()}, Timeout: 2 * time.Second})
+		resp, err := c.Do(context.Background(), client.Request{Service: "entries", Method: "POST", Path: "/pay", Body: []byte("x")})
+		if got := f.runs.Load(); got != want.runs {
+			t.Errorf("killed %q: %d runs, want %d", killAt, got, want.runs)
+		}
+		var unknown *client.UnknownError
+		switch {
+		case want.answered && (err != nil || string(resp.Body) != "booked" || resp.Status != 200):
+			t.Errorf("killed %q: %+v %v", killAt, resp, err)
+		case !want.answered && !errors.As(err, &unknown):
+			t.Errorf("killed %q: %+v %v, want unknown", killAt, resp, err)
+		}
+		c.Close()
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -86,15 +86,21 @@
 // Prefix returns what callers put before their random part to make a key for
 // this instance.
 func (l *Ledger) Prefix() string {
+	epoch, exclude := l.epoch()
+	k := Key{Owner: l.cfg.Self, OwnerInc: l.cfg.Inc, Epoch: epoch}
+	if w, inc, ok := l.cfg.Members.Witness(exclude); ok {
+		k.Witness, k.WitnessInc = w, inc
+	}
+	return k.Prefix()
+}
+
+// epoch returns the current epoch, and the instances that cannot be witnesses.
+func (l *Ledger) epoch() (uint64, []model.InstanceID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.book.advance(now)
-	k := Key{Owner: l.cfg.Self, OwnerInc: l.cfg.Inc, Epoch: l.book.own().epoch}
-	if w, inc, ok := l.cfg.Members.Witness(l.avoidedWitnesses(now)); ok {
-		k.Witness, k.WitnessInc = w, inc
-	}
-	return k.Prefix()
+	return l.book.own().epoch, l.avoidedWitnesses(now)
 }
 
 func (l *Ledger) avoidedWitnesses(now time.Time) []model.InstanceID {
--- /dev/null
+++ b/internal/ledger/unit_test.go
@@ -0,0 +1,220 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// quietWorld is a fleet without faults.
+func quietWorld() *world {
+	w := newWorld(1, false, names...)
+	w.lossy = false
+	return w
+}
+
+func mustBegin(t *testing.T, l *Ledger, key string) *Claim {
+	t.Helper()
+	c, res, err := l.Begin(context.Background(), key, 1)
+	if err != nil || c == nil {
+		t.Fatalf("Begin(%q): claim %v, result %+v, error %v", key, c, res, err)
+	}
+	return c
+}
+
+func reasonOf(err error) Reason {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r.Reason
+	}
+	return ""
+}
+
+// Guards against a duplicate that runs next to the first request, at the same
+// or another instance, and against a key that serves two different requests.
+func TestDuplicates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld()
+		a, b := w.node("a").l, w.node("b").l
+		key := a.Prefix() + "1"
+		c := mustBegin(t, a, key)
+		results := make(chan string, 4)
+		for _, l := range []*Ledger{a, b, b} {
+			go func() {
+				claim, res, err := l.Begin(context.Background(), key, 1)
+				results <- fmt.Sprint(claim != nil, err, string(res.Body))
+			}()
+		}
+		time.Sleep(time.Second)
+		short, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if _, _, err := b.Begin(short, key, 1); reasonOf(err) != ReasonRunning {
+			t.Errorf("still running: %v", err)
+		}
+		if err := c.Intent(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		c.Finish(model.OutcomeAnswered, &dispatch.Response{Status: 201, Body: []byte("first")})
+		if o := c.Finish(model.OutcomeUnknown, nil); o != model.OutcomeUnknown {
+			t.Error(o)
+		}
+		for range 3 {
+			if got := <-results; got != "false <nil>first" {
+				t.Errorf("duplicate: %s", got)
+			}
+		}
+		for _, l := range []*Ledger{a, b} {
+			if _, _, err := l.Begin(context.Background(), key, 2); reasonOf(err) != ReasonReused {
+				t.Errorf("another body: %v", err)
+			}
+		}
+		for _, key := range []string{"", "a b", `a"`, string(make([]byte, 300))} {
+			if _, _, err := a.Begin(context.Background(), key, 1); reasonOf(err) != ReasonInvalid {
+				t.Errorf("key %q: %v", key, err)
+			}
+		}
+		if _, _, err := a.Begin(context.Background(), Key{Owner: "a", OwnerInc: w.node("a").inc, Epoch: 1, Random: "x"}.String(), 1); reasonOf(err) != ReasonExpired {
+			t.Errorf("epoch that was not handed out: %v", err)
+		}
+		if err := a.Flush(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// Guards against records that outgrow the memory of an instance, and against
+// replaying half a response.
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld()
+		a := w.node("a").l
+		a.book.max = 400
+		finish := func(key string, size int) {
+			c := mustBegin(t, a, key)
+			c.Finish(model.OutcomeAnswered, &dispatch.Response{Status: 201, Header: http.Header{"A": {"b"}}, Body: make([]byte, size)})
+		}
+		first := a.Prefix() + "first"
+		finish(first, 60<<10)
+		large := a.Prefix() + "large"
+		finish(large, maxResponseBytes)
+		if _, res, _ := a.Begin(context.Background(), large, 1); !res.BodyGone || res.Status != 201 || res.Body != nil {
+			t.Errorf("large response: %+v", res)
+		}
+		for i := range 150 {
+			finish(fmt.Sprint(a.Prefix(), i), 60<<10)
+		}
+		if _, res, _ := a.Begin(context.Background(), first, 1); res == nil || !res.BodyGone {
+			t.Errorf("oldest response: %+v", res)
+		}
+		if a.book.cache.bytes > maxCacheBytes {
+			t.Errorf("%d bytes of responses", a.book.cache.bytes)
+		}
+		for i := range 2000 {
+			finish(fmt.Sprint(a.Prefix(), "n", i), 1)
+			if n := a.book.own().size(); n > 400 {
+				t.Fatalf("%d records, want at most 400", n)
+			}
+		}
+		if _, _, err := a.Begin(context.Background(), first, 1); reasonOf(err) != ReasonExpired {
+			t.Errorf("discarded record: %v", err)
+		}
+	})
+}
+
+// Guards against losing recorded outcomes on a planned stop, and against the
+// stopped instance or a second successor taking keys again.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld()
+		a, b, c := w.node("a").l, w.node("b").l, w.node("c").l
+		prefix := Key{Owner: "a", OwnerInc: w.node("a").inc}.Prefix()
+		var keys []string
+		for i := range 40 {
+			keys = append(keys, fmt.Sprint(prefix, i))
+			claim := mustBegin(t, a, keys[i])
+			claim.Finish(model.OutcomeAnswered, &dispatch.Response{Status: 201, Body: make([]byte, 50<<10)})
+		}
+		mustBegin(t, a, prefix+"running")
+		if err := a.HandOver(context.Background(), "b", w.node("b").inc); err != nil {
+			t.Fatal(err)
+		}
+		if err := a.HandOver(context.Background(), "c", w.node("c").inc); err == nil {
+			t.Error("handed over twice")
+		}
+		w.successor[source{"a", w.node("a").inc}] = "b"
+		if claim := mustBegin(t, a, prefix+"late"); claim.rec.token.Instance != "a" {
+			t.Error("the stopped instance does not ask its successor")
+		}
+		w.nodes["a"].dead = true
+		for _, key := range keys {
+			if _, res, err := c.Begin(context.Background(), key, 1); err != nil || len(res.Body) != 50<<10 {
+				t.Fatalf("inherited record: %+v %v", res, err)
+			}
+		}
+		if _, res, err := c.Begin(context.Background(), prefix+"running", 1); err != nil || res.Outcome != model.OutcomeUnknown {
+			t.Errorf("request in flight at the stop: %+v %v", res, err)
+		}
+		mustBegin(t, c, prefix+"new")
+		if res, err := b.Lookup(context.Background(), prefix+"unseen"); err != nil || res.Outcome != model.OutcomeNotRun {
+			t.Errorf("unseen key: %+v %v", res, err)
+		}
+		time.Sleep(inheritedRetention + time.Second)
+		if _, _, err := b.Begin(context.Background(), keys[0], 1); reasonOf(err) != ReasonHolderLost {
+			t.Errorf("after the retention: %v", err)
+		}
+	})
+}
+
+// Guards against more store writes than the budget, and against reporting as
+// not run a key that may be bound.
+func TestOwnKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld()
+		a, b := w.node("a").l, w.node("b").l
+		claim := mustBegin(t, a, "own-key")
+		claim.Finish(model.OutcomeAnswered, &dispatch.Response{Status: 201, Body: []byte("x")})
+		if _, res, err := b.Begin(context.Background(), "own-key", 1); err != nil || string(res.Body) != "x" {
+			t.Errorf("bound elsewhere: %+v %v", res, err)
+		}
+		refused := 0
+		for i := range 100 {
+			_, _, err := a.Begin(context.Background(), fmt.Sprint("flood", i), 1)
+			var r *Refusal
+			if errors.As(err, &r) && r.Reason == ReasonUnbound {
+				refused++
+			}
+		}
+		if most := bindingWrites*6 + 1; w.store.writes > most || refused == 0 {
+			t.Errorf("%d writes, want at most %d; %d refused", w.store.writes, most, refused)
+		}
+		time.Sleep(2 * time.Second)
+		w.store.down = time.Now().Add(time.Minute)
+		_, _, err := a.Begin(context.Background(), "in an outage", 1)
+		var r *Refusal
+		if !errors.As(err, &r) || r.Outcome != model.OutcomeUnknown {
+			t.Errorf("store down: %v", err)
+		}
+		if _, res, err := a.Begin(context.Background(), "own-key", 1); err != nil || res == nil {
+			t.Errorf("known binding in an outage: %+v %v", res, err)
+		}
+	})
+}
+
+func FuzzParseKey(f *testing.F) {
+	for _, seed := range []string{"a.1.0.b.2.x", "a.1.0.-.0.x", "a.01.0.b.2.x", "a.1.0.b.2.", "a.1.0.b.2.x.y", "..0.b.2.x", "a.zzzzzzzzzzzzzzz.0.b.2.x"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		k, ok := ParseKey(s)
+		if ok && (k.String() != s || CheckKey(s) != nil || k.Random == "" || k.Owner == "") {
+			t.Errorf("%q read as %+v", s, k)
+		}
+	})
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -18,6 +18,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -114,6 +115,9 @@
 	Reused bool
 	// Silent means that the endpoint accepted the request and sent nothing.
 	Silent bool
+	// Broken means that the endpoint ended the connection before its response
+	// was complete, as it does when it crashes.
+	Broken bool
 	// RetryAfter is the endpoint's wish if Kind is ErrRefused.
 	RetryAfter time.Duration
 }
@@ -128,6 +132,7 @@
 	errNoEnd      = errors.ConstError("response without a length, which may be cut off")
 	errSilent     = errors.ConstError("no sign of life on the connection")
 	errSwitching  = errors.ConstError("endpoint switched protocols")
+	errStatus     = errors.ConstError("status outside 200 to 599")
 	errOverloaded = errors.ConstError("status 503 with Retry-After")
 )
 
@@ -258,15 +263,28 @@
 		return e
 	}
 	e.Silent = errors.Is(e.Cause, errSilent)
+	e.Broken = context.Cause(x.ctx) == nil && broken(err)
 	return e
 }
 
+func broken(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	// net/http does not export this error of a reused connection.
+	return strings.Contains(err.Error(), "server closed idle connection")
+}
+
 // readBody reads the whole body. A response that ends with its connection has
 // no proven end and is an error.
 func (x *exchange) readBody(resp *http.Response) ([]byte, error) {
 	switch {
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return nil, errSwitching
+	case resp.StatusCode < 200 || resp.StatusCode > 599:
+		return nil, errStatus
 	case bodyless(x.req.Method, resp.StatusCode):
 		return nil, nil
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -88,8 +88,9 @@
 				if got != 1 {
 					t.Errorf("%s repeatable=%v body=%q: %d arrivals for one Send, want 1", method, repeatable, body, got)
 				}
-				if repeatable && !errors.Is(err, dispatch.ErrInterrupted) {
-					t.Errorf("%s: closed connection: %v, want ErrInterrupted", method, err)
+				var e *Error
+				if repeatable && (!errors.Is(err, dispatch.ErrInterrupted) || !errors.As(err, &e) || !e.Broken) {
+					t.Errorf("%s: closed connection: %v, want ErrInterrupted, broken", method, err)
 				}
 				tr.Close()
 			}
@@ -120,6 +121,7 @@
 		"conflicting ends": {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", dispatch.ErrInterrupted, ""},
 		"informational":    {"HTTP/1.1 102 Processing\r\n\r\n" + okResponse, nil, "ok"},
 		"switching":        {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", dispatch.ErrInterrupted, ""},
+		"odd status":       {"HTTP/1.1 042 Odd\r\nContent-Length: 0\r\n\r\n", dispatch.ErrInterrupted, ""},
 		"unasked response": {okResponse + okResponse, nil, "ok"},
 	} {
 		for _, repeatable := range []bool{false, true} {
