capacity: divide link budgets by the sum over services of the larger count

While one capacity is lowered and another raised, the sum of all capacities can be below the sum of the owned slots: the random test saw link parts that sum to 1.06. The divisor now takes, for each service, the largest of its capacity, the lowered one and the owned slots. The scenarios cover pauses with a stopped clock, a cut-off owner, lowered and raised capacities, leaving and repeated returns.

--- a/internal/capacity/ownership.go
+++ b/internal/capacity/ownership.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -47,17 +48,16 @@
 	raised map[model.Service]time.Time
 	// claimAfter is when the rules are known to be those in effect.
 	claimAfter time.Time
-	// formerSum is the sum of the capacities before they were lowered.
-	formerSum int
-	loweredAt time.Time
+	// former are the capacities before they were lowered.
+	former map[model.Service]lowered
 
 	record   *Record
 	revision store.Revision
 	totals   []int
-	// total is the sum of totals, mine the number of slots that the instance
-	// owns and keeps, capSum the sum of caps.
-	total, mine, capSum int
-	applied             time.Time
+	// mine is the number of slots that the instance owns and keeps; divisor
+	// is at least the number that all instances own.
+	mine, divisor int
+	applied       time.Time
 	// pending means that a write at pendingAt has an unknown result.
 	pending   bool
 	pendingAt store.Revision
@@ -74,6 +74,12 @@
 	marks   map[model.InstanceID]mark
 }
 
+// lowered is a capacity that was lowered.
+type lowered struct {
+	from int
+	at   time.Time
+}
+
 // mark is a note in the record that a holder is missing.
 type mark struct {
 	version uint64
@@ -81,6 +87,7 @@
 }
 
 func (o *ownership) init() {
+	o.former = make(map[model.Service]lowered)
 	o.raised = make(map[model.Service]time.Time)
 	o.unresolved = make(map[model.Service]int)
 	o.unsettled = make(map[model.Service]time.Time)
@@ -101,7 +108,7 @@
 	}
 	s.noteChanges(t, caps)
 	s.own.caps = caps
-	s.own.capSum = sum(caps)
+	s.own.setDivisor()
 	s.withhold(t)
 }
 
@@ -116,9 +123,10 @@
 			o.raised[svc] = t
 		}
 	}
-	if before := sum(o.caps); sum(caps) < before {
-		o.formerSum = max(o.formerSum, before)
-		o.loweredAt = t
+	for svc, n := range o.caps {
+		if n > caps[svc] {
+			o.former[svc] = lowered{from: max(n, o.former[svc].from), at: t}
+		}
 	}
 }
 
@@ -133,12 +141,29 @@
 	}
 }
 
-func sum(caps map[model.Service]int) int {
-	n := 0
-	for _, c := range caps {
-		n += c
+// setDivisor computes the divisor of the link parts. A lowered capacity counts
+// until a record is known that nobody with the former rules changes any more.
+func (o *ownership) setDivisor() {
+	counts := maps.Clone(o.caps)
+	if counts == nil {
+		counts = make(map[model.Service]int)
+	}
+	for svc, l := range o.former {
+		if o.applied.Before(l.at.Add(RaiseDelay)) {
+			counts[svc] = max(counts[svc], l.from)
+		} else {
+			delete(o.former, svc)
+		}
+	}
+	if o.record != nil {
+		for i, svc := range o.record.Services {
+			counts[svc] = max(counts[svc], o.totals[i])
+		}
+	}
+	o.divisor = 0
+	for _, n := range counts {
+		o.divisor += n
 	}
-	return n
 }
 
 // SetMembers takes the live instances of the own region.
@@ -246,10 +271,7 @@
 		clear(o.unresolved)
 	}
 	o.record, o.revision, o.totals, o.applied = rec, rev, rec.totals(), started
-	o.total = 0
-	for _, n := range o.totals {
-		o.total += n
-	}
+	o.setDivisor()
 	s.takeOwn(started)
 	s.noteMarks(t)
 	s.noteUnsettled(t)
--- a/internal/capacity/propose.go
+++ b/internal/capacity/propose.go
@@ -261,18 +261,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.enter(now)
-	o := &s.own
-	if o.record == nil {
-		return 0
-	}
-	divisor := o.capSum
-	if o.formerSum > 0 && o.applied.Before(o.loweredAt.Add(RaiseDelay)) {
-		divisor = max(divisor, o.formerSum)
-	} else {
-		o.formerSum = 0
-	}
-	if o.mine == 0 {
+	if s.own.mine == 0 {
 		return 0
 	}
-	return float64(o.mine) / float64(max(divisor, o.total))
+	return float64(s.own.mine) / float64(s.own.divisor)
 }
--- /dev/null
+++ b/internal/capacity/scenario_test.go
@@ -0,0 +1,167 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// settled returns a world in which the slots have owners.
+func settled(t *testing.T, home, remote int, caps map[model.Service]int) *world {
+	w := newWorld(t, nil, home, remote, caps)
+	w.quiet(time.Minute)
+	return w
+}
+
+func (w *world) owned(svc model.Service) int {
+	rec := w.record()
+	if i := rec.index(svc); i >= 0 {
+		return rec.totals()[i]
+	}
+	return 0
+}
+
+// Guards against an instance that uses its slots after others took them
+// because it was paused. Its monotonic clock stands still in the pause.
+// Without the pause check and the comparison with the wall clock the test
+// failed with "2 requests of entries in flight, 1 slots owned" (cap 2).
+func TestPausedOwnerDoesNotUseReclaimedSlots(t *testing.T) {
+	w := settled(t, 2, 0, map[model.Service]int{"entries": 2})
+	n := w.nodes[0]
+	w.pause(n, 100*time.Second, true)
+	w.gone[n.id] = w.now
+	w.quiet(90 * time.Second)
+	if w.record().Holders[n.id] != nil {
+		t.Fatalf("slots of the missing instance not reclaimed: %s", w.value)
+	}
+	w.hold = 5 * time.Second
+	for _, o := range w.nodes {
+		w.now = max(w.now, o.pausedUntil)
+		w.fill(o)
+	}
+	w.check()
+	if n.state.Admitting(w.clock(n)) {
+		t.Error("admits after a pause without a new confirmation")
+	}
+	w.hold = 0
+	delete(w.gone, n.id)
+	w.quiet(2 * time.Minute)
+	if w.take(n, "entries", time.Second) == nil {
+		t.Error("does not resume after confirmation")
+	}
+}
+
+// Guards against an instance without the store and the list that goes on
+// until others take its slots. With a reclaim after 25 s the test failed with
+// "2 requests of entries in flight, 1 slots owned".
+func TestCutOffOwnerStopsBeforeReclaim(t *testing.T) {
+	w := settled(t, 2, 0, map[model.Service]int{"entries": 2})
+	cut := w.nodes[0]
+	w.gone[cut.id] = w.now
+	w.hold = 29 * time.Second
+	for range 100 {
+		w.advance(time.Second)
+		other := w.nodes[1]
+		w.read(other)
+		w.write(other, "ok")
+		w.list(other, 0)
+	}
+	if w.record().Holders[cut.id] != nil {
+		t.Fatalf("not reclaimed: %s", w.value)
+	}
+}
+
+// Guards against a sum above a lowered capacity for good, slots of a raised
+// capacity left without an owner, and writes when nothing changes.
+func TestCapacityFollowsRulesThenNoWrites(t *testing.T) {
+	w := settled(t, 5, 0, map[model.Service]int{"entries": 16, "results": 3})
+	for _, c := range []int{16, 4, 11, 0, 23} {
+		w.caps = map[model.Service]int{"entries": c, "results": 3}
+		for _, n := range w.nodes {
+			w.setRules(n)
+		}
+		w.quiet(3 * time.Minute)
+		if got := w.owned("entries"); got != c {
+			t.Errorf("capacity %d: %d slots owned", c, got)
+		}
+		before := w.revision
+		w.quiet(10 * time.Minute)
+		if w.revision != before {
+			t.Errorf("capacity %d: %d writes in a quiet time", c, w.revision-before)
+		}
+	}
+}
+
+// Guards against slots that stay idle because an instance left, and against an
+// instance that leaves with requests in flight.
+func TestLeavingOwnerGivesUpIdleSlots(t *testing.T) {
+	w := settled(t, 3, 0, map[model.Service]int{"entries": 6})
+	n := w.nodes[1]
+	w.take(n, "entries", 20*time.Second)
+	n.state.Leave(w.clock(n))
+	if w.take(n, "entries", time.Second) != nil {
+		t.Error("a leaving instance took a slot")
+	}
+	w.quiet(5 * time.Second)
+	if got := w.record().Holders[n.id].at(0); got != 1 {
+		t.Errorf("%d slots kept, want the one in use", got)
+	}
+	w.release(n, 0, false)
+	w.quiet(5 * time.Second)
+	if !n.state.Left() {
+		t.Error("slots not given up")
+	}
+}
+
+// Guards against a repeated or late message that frees slots twice. Without
+// the comparison of counts the lender had -1 slots on loan.
+func TestReturnTwiceHasNoEffect(t *testing.T) {
+	w := settled(t, 1, 1, map[model.Service]int{"entries": 3})
+	l := w.nodes[0]
+	k := Key{Region: "a", Service: "entries"}
+	reply := l.state.Lend(w.clock(l), &BorrowArgs{From: "i1", Want: []Want{{Key: k, Count: 3}}})
+	if len(reply.Loans) != 1 || reply.Loans[0].Count != 3 {
+		t.Fatalf("reply %+v", reply)
+	}
+	id := reply.Loans[0].ID
+	other := id
+	other.Incarnation++
+	back := func(from model.InstanceID, id LoanID, keep int) {
+		l.state.TakeBack(w.clock(l), &ReturnArgs{From: from, Loans: []Keep{{ID: id, Count: keep}}})
+	}
+	back("i1", id, 2)
+	back("i1", id, 2)
+	back("i1", id, 3)
+	back("i1", id, -1)
+	back("i2", id, 0)
+	back("i1", other, 0)
+	if lent := l.state.pools[k].lent; lent != 2 {
+		t.Errorf("%d slots on loan, want 2", lent)
+	}
+	back("i1", id, 0)
+	back("i1", id, 0)
+	if lent := l.state.pools[k].lent; lent != 0 {
+		t.Errorf("%d slots on loan, want 0", lent)
+	}
+}
+
+// Guards against link parts that sum to more than the budget while one
+// capacity is lowered and another raised. With one sum for all services in
+// place of a sum by service, the random test saw 1.06.
+func TestLinkPartsWhileCapacitiesChange(t *testing.T) {
+	w := settled(t, 3, 0, map[model.Service]int{"entries": 9, "results": 3})
+	w.hold = 8 * time.Second
+	w.caps = map[model.Service]int{"entries": 2, "results": 9}
+	for _, n := range w.nodes {
+		w.setRules(n)
+	}
+	w.quiet(time.Minute)
+	parts := 0.0
+	for _, n := range w.nodes {
+		parts += n.state.LinkPart(w.clock(n))
+	}
+	if parts < 0.99 {
+		t.Errorf("parts sum to %v after the change", parts)
+	}
+}
