shift: keep to the cap in every window, and compare with the definition

Over 5 instances together, the share of a region rose by 0.1042 in a period with a cap of 0.1, and by 0.289 with a cap of 0.25 where a share fell and rose again within a period. Causes: a window of one step more than the period, shares measured over that, a new instance that started from the present share of a peer and not from that at the start of the peer's window, and a bound from the start of the window that says nothing about windows that start later. Random arrival was ruled out as the cause by the counts per instance.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -212,7 +212,7 @@
 func (r *Router) publish(now time.Time) {
 	for name := range r.set.Shifts {
 		if r.services[name] != nil {
-			r.cfg.Handover.Publish(r.cfg.Incarnation, name, r.cfg.Limiter.Shares(now, name), r.target(name))
+			r.cfg.Handover.Publish(r.cfg.Incarnation, name, r.cfg.Limiter.Position(now, name), r.target(name))
 		}
 	}
 }
--- a/internal/shift/series.go
+++ b/internal/shift/series.go
@@ -34,6 +34,8 @@
 	gone, refused, total int
 	// phase is the offset of the systematic sampling.
 	phase float64
+	// low is the smallest share of each region in the window.
+	low   []float64
 	table *[refusedSlots]refusedID
 }
 
@@ -71,6 +73,7 @@
 	s.sent = make([]int, len(shares))
 	s.gone, s.refused, s.total = 0, 0, 0
 	s.table = nil
+	s.low = append([]float64(nil), shares...)
 	for i := range s.buckets {
 		s.buckets[i] = bucket{sent: make([]int32, len(shares))}
 		s.snaps[i] = snapshot{shares: append([]float64(nil), shares...), level: unknownLevel}
@@ -90,6 +93,7 @@
 func (s *series) widen(n int) {
 	grow := n - len(s.sent)
 	s.sent = append(s.sent, make([]int, grow)...)
+	s.low = append(s.low, make([]float64, grow)...)
 	for i := range s.buckets {
 		s.buckets[i].sent = append(s.buckets[i].sent, make([]int32, grow)...)
 		s.snaps[i].shares = append(s.snaps[i].shares, make([]float64, grow)...)
@@ -133,6 +137,7 @@
 		copy(s.snaps[i].shares, last.shares)
 		s.snaps[i].level = unknownLevel
 	}
+	s.setLow()
 }
 
 // open starts the next step: the oldest one leaves the window.
@@ -152,6 +157,7 @@
 	copy(sn.shares, shares)
 	sn.level = level
 	s.seq = next
+	s.setLow()
 }
 
 // decided returns the number of requests in the window that count.
@@ -171,31 +177,45 @@
 	return n + min(refused, max(s.start().level-n, 0))
 }
 
-// measure returns the shares at the end of the current window. A share rises
-// by at most the cap over that at the start of the window, also if the counts
-// say more because they came in bursts. What that takes away goes to regions
-// that are below their former share.
+// measure returns the shares at the end of the current step and the level.
+// They cover the last Steps steps, which is the period. A share rises by at
+// most the cap over that at the start of the period, also if the counts say
+// more because they came in bursts. What that takes away goes to regions that
+// are below their former share.
 func (s *series) measure() ([]float64, int) {
-	n := s.decided()
+	level := s.decided()
 	before := s.snap(s.seq).shares
-	if n == 0 || s.limit.capped && float64(n)*s.limit.fraction < 1-epsilon {
+	n := level - s.oldest()
+	if n <= 0 || s.limit.capped && float64(n)*s.limit.fraction < 1-epsilon {
 		return before, unknownLevel
 	}
 	if s.limit.held {
-		return before, n
+		return before, level
 	}
-	base := s.start().shares
+	base := s.snap(max(s.seq-Steps+1, 0)).shares
+	old := s.bucket(s.seq + 1).sent
 	shares := make([]float64, len(s.sent))
 	taken := 0.0
 	for i, c := range s.sent {
-		shares[i] = float64(c) / float64(n)
+		shares[i] = min(float64(c-int(old[i]))/float64(n), 1)
 		if top := base[i] + s.limit.fraction; s.limit.capped && shares[i] > top {
 			taken += shares[i] - top
 			shares[i] = top
 		}
 	}
 	refill(shares, base, taken)
-	return shares, n
+	return shares, level
+}
+
+// oldest returns what the oldest step of the window adds to decided(W).
+func (s *series) oldest() int {
+	b := s.bucket(s.seq + 1)
+	n := int(b.gone)
+	for _, c := range b.sent {
+		n += int(c)
+	}
+	without := s.total + s.gone - n
+	return s.decided() - without - min(s.refused-int(b.refused), max(s.start().level-without, 0))
 }
 
 func refill(shares, base []float64, taken float64) {
@@ -212,21 +232,72 @@
 	}
 }
 
-// allow reports whether region i may get the request.
+// allow reports whether region i may get the request. Within a step it keeps
+// to the bound as well, rounded up, so that a shift does not send all requests
+// of a few seconds to the region; that yields where no other region is allowed.
 func (s *series) allow(i int, id uint64) bool {
-	n := float64(s.decidedWith(id))
-	share := s.start().shares[i]
-	fraction := s.limit.fraction
-	if s.limit.held {
-		fraction = 0
+	n := s.decidedWith(id)
+	if !s.within(i, n) {
+		return false
 	}
-	most := math.Floor((share+fraction)*n + epsilon)
-	if n*fraction < 1 {
+	return s.evenly(i, id) || !s.othersWithin(i, n)
+}
+
+// within reports whether region i keeps to the bound of the window. With so
+// few requests that rounding down by region could forbid all regions, what the
+// shares give without an increase is allowed too.
+func (s *series) within(i, decided int) bool {
+	n := float64(decided)
+	most := math.Floor((s.low[i]+s.fraction())*n + epsilon)
+	if n*s.fraction() < float64(len(s.sent)) {
 		most = max(most, s.sampled(i, n))
 	}
 	return float64(s.sent[i]+1) <= most
 }
 
+// setLow computes the smallest share of each region in the window. It stands
+// for the share at the start, because the request also counts in the windows
+// that start later: of a share that falls and rises again within a period, the
+// bound from the start let 0.264 pass in a period with a cap of 0.25.
+func (s *series) setLow() {
+	copy(s.low, s.snap(s.seq).shares)
+	for k := max(s.seq-Steps, 0); k < s.seq; k++ {
+		for i, sh := range s.snap(k).shares {
+			s.low[i] = min(s.low[i], sh)
+		}
+	}
+}
+
+func (s *series) fraction() float64 {
+	if s.limit.held {
+		return 0
+	}
+	return s.limit.fraction
+}
+
+// evenly reports whether region i keeps to the bound in the current step.
+func (s *series) evenly(i int, id uint64) bool {
+	b := s.bucket(s.seq)
+	n := int(b.gone+b.refused) + 1
+	for _, c := range b.sent {
+		n += int(c)
+	}
+	if e := s.entry(id); e != nil && s.counts(e, id) && e.seq == s.seq {
+		n--
+	}
+	most := math.Ceil((s.low[i]+s.fraction())*float64(n) - epsilon)
+	return float64(b.sent[i]+1) <= most
+}
+
+func (s *series) othersWithin(i, decided int) bool {
+	for k := range s.sent {
+		if k != i && s.within(k, decided) {
+			return true
+		}
+	}
+	return false
+}
+
 // sampled returns the region's part of n requests by systematic sampling: the
 // parts of all regions sum to n if the shares sum to 1.
 func (s *series) sampled(i int, n float64) float64 {
@@ -289,4 +360,5 @@
 	for k := range s.snaps {
 		s.snaps[k].shares[i] = 0
 	}
+	s.low[i] = 0
 }
--- a/internal/shift/shift.go
+++ b/internal/shift/shift.go
@@ -7,8 +7,8 @@
 //	sent(r, W) <= floor((share(r) + f) * decided(W))
 //
 // W is the window of the last P, in steps of P/Steps: it holds the current
-// step and the Steps steps before it. share(r) is the region's share at the
-// start of W. The bound is rounded down on each instance, so it also holds for
+// step and the Steps steps before it. share(r) is the region's smallest share
+// since the start of W. The bound is rounded down on each instance, so it also holds for
 // the sums over all instances.
 //
 // Which requests count: sent(r, W) are attempts whose slot was taken, a retry
@@ -18,9 +18,10 @@
 // callers that repeat refused requests do not raise the bound.
 //
 // A share is measured over at least 1/f requests. An instance that decides
-// fewer in a period keeps the shares it has: the formula rounds to no request
-// at all, so it sends to each region the part of its requests that the share
-// gives, by systematic sampling from a random phase, and starts no shift.
+// fewer in a period keeps the shares it has and starts no shift. Where rounding
+// down by region could forbid every region, which takes fewer requests than
+// regions/f, each region may get what its share at the start of W gives, by
+// systematic sampling from a random phase.
 //
 // A service without a cap is not limited. Its shares are measured all the
 // same, so that a cap starts from them when it is added. A held service keeps
@@ -93,13 +94,15 @@
 // limit is what bounds a service.
 type limit struct {
 	capped, held bool
-	fraction     float64
-	period       time.Duration
+	// fraction is the cap less what a window of one more step could hide:
+	// without that, shares rose by 0.1042 in a period with a cap of 0.1.
+	fraction float64
+	period   time.Duration
 }
 
 func limitOf(set *rules.Set, svc model.Service) limit {
 	c, capped := set.Shifts[svc]
-	lim := limit{capped: capped, held: set.Held[svc], fraction: c.Fraction, period: max(c.Period, MinPeriod)}
+	lim := limit{capped: capped, held: set.Held[svc], fraction: c.Fraction * Steps / (Steps + 1), period: max(c.Period, MinPeriod)}
 	if !capped {
 		lim.period = defaultPeriod
 	}
@@ -144,8 +147,10 @@
 	}
 }
 
-// Shares returns the service's shares now.
-func (l *Limiter) Shares(now time.Time, svc model.Service) Shares {
+// Position returns the service's shares at the start of the window, from which
+// the bounds are computed. An instance that starts from them is no further
+// than this one: from the present shares it would be up to the cap ahead.
+func (l *Limiter) Position(now time.Time, svc model.Service) Shares {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.series[svc]
@@ -155,7 +160,7 @@
 	s.advance(now)
 	out := make(Shares, len(l.regions))
 	for i, r := range l.regions {
-		out[r] = s.snap(s.seq).shares[i]
+		out[r] = s.start().shares[i]
 	}
 	return out
 }
