--- /dev/null
+++ b/cmd/jujubestiled/demo.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"jujubestile.example/jujubestile/internal/demo"
+)
+
+type demoCommand struct {
+	json    bool
+	verbose bool
+}
+
+func (*demoCommand) Name() string     { return "demo" }
+func (*demoCommand) Synopsis() string { return "show the whole system at work in one process" }
+func (*demoCommand) Usage() string {
+	return "demo [-json] [-log]\n\nExits with 0 if every invariant held, with 1 otherwise.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.json, "json", false, "print the report as JSON")
+	f.BoolVar(&c.verbose, "log", false, "write the events of all instances to standard error")
+}
+
+// Execute implements subcommands.Command.
+func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	log := io.Discard
+	if c.verbose {
+		log = os.Stderr
+	}
+	report, err := demo.Run(ctx, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		return subcommands.ExitFailure
+	}
+	write := report.WriteTable
+	if c.json {
+		write = report.WriteJSON
+	}
+	if err := write(os.Stdout); err != nil || len(report.Broken) > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/cmd/jujubestiled/main.go
+++ b/cmd/jujubestiled/main.go
@@ -2,6 +2,7 @@
 //
 //	jujubestiled run -config FILE     runs the instance until SIGTERM
 //	jujubestiled check -config FILE   checks the settings and exits
+//	jujubestiled demo                 shows the whole system in one process
 package main
 
 import (
@@ -16,6 +17,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&runCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
+	subcommands.Register(&demoCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -1,9 +1,12 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
+
+	"jujubestile.example/jujubestile/internal/configsync"
 )
 
 func (d *Daemon) controlHandler() http.Handler {
@@ -15,3 +18,8 @@
 	})
 	return r
 }
+
+// Edit writes an operator's edit of the rules.
+func (d *Daemon) Edit(ctx context.Context, r configsync.Request) configsync.Result {
+	return d.editor.Edit(ctx, r)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/peer"
 	"jujubestile.example/jujubestile/internal/platform"
+	"jujubestile.example/jujubestile/internal/quarantine"
 	"jujubestile.example/jujubestile/internal/retry"
 	"jujubestile.example/jujubestile/internal/route"
 	"jujubestile.example/jujubestile/internal/settings"
@@ -66,6 +67,7 @@
 	handover       *shift.Handover
 	router         *route.Router
 	admission      *admission.Control
+	quarantine     *quarantine.Quarantine
 	balancer       *balance.Balancer
 	transport      *transport.Transport
 	dispatcher     *dispatch.Dispatcher
@@ -137,6 +139,7 @@
 		Limiter: d.limiter, Handover: d.handover, Signals: d.signals,
 	})
 	d.admission = admission.New(d.router)
+	d.quarantine = quarantine.New(newRand())
 	d.balancer = balance.New(balance.Config{Instance: d.settings.Instance, ActiveProbes: true, Rand: newRand()})
 }
 
@@ -149,7 +152,7 @@
 		},
 		Caller:    d.pool,
 		Source:    &timedSource{Source: d.source, began: &d.listing.began},
-		Topics:    []membership.Topic{d.rules, d.handover},
+		Topics:    []membership.Topic{d.rules, d.handover, d.quarantine},
 		Rand:      newRand(),
 		OnListing: d.onListing,
 		OnEvent:   d.membersEvent,
@@ -167,7 +170,7 @@
 	d.transport = transport.New(transport.Config{})
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Region: d.settings.Region, Admission: d.admission, Balancer: d.balancer,
-		Transport: tracedTransport{d.transport, d.tracer}, Retry: retry.NewPolicy(newRand()),
+		Transport: tracedTransport{d.transport, d.tracer}, Retry: retry.NewPolicy(newRand()), Quarantine: quarantineAdapter{d},
 	})
 	d.entry = entry.New(entry.Config{
 		Dispatcher:     dispatcher{d},
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -177,3 +177,8 @@
 	}
 	return uint8(min(used*membership.MaxLoadClass/slots, membership.MaxLoadClass))
 }
+
+// Revision returns the rules revision in force.
+func (d *Daemon) Revision() uint64 {
+	return d.rules.Head().Revision
+}
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -10,6 +10,7 @@
 	"jujubestile.example/jujubestile/internal/entry"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/quarantine"
 	"jujubestile.example/jujubestile/internal/telemetry"
 )
 
@@ -90,3 +91,31 @@
 	span.End("", err)
 	return resp, err
 }
+
+// quarantineAdapter implements dispatch.Quarantine.
+type quarantineAdapter struct{ d *Daemon }
+
+var verdicts = map[quarantine.Verdict]dispatch.Verdict{
+	quarantine.Allow:   dispatch.VerdictAllow,
+	quarantine.Isolate: dispatch.VerdictIsolate,
+	quarantine.Refuse:  dispatch.VerdictRefuse,
+}
+
+// Check implements dispatch.Quarantine.
+func (a quarantineAdapter) Check(fp uint64) dispatch.Verdict {
+	return verdicts[a.d.quarantine.Check(fp)]
+}
+
+// Started implements dispatch.Quarantine.
+func (a quarantineAdapter) Started(fp uint64, e model.EndpointID) {
+	a.d.quarantine.Started(fp, e)
+}
+
+// Finished implements dispatch.Quarantine. A crash is told to the other
+// instances at once.
+func (a quarantineAdapter) Finished(fp uint64, e model.EndpointID, crashed bool) {
+	a.d.quarantine.Finished(fp, e, crashed)
+	if crashed {
+		a.d.members.Notify(a.d.quarantine.Name())
+	}
+}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -38,6 +39,8 @@
 	DrainTime float64 `json:"drain_ms"`
 	// Broken names the invariants that did not hold.
 	Broken []string `json:"broken"`
+
+	mu sync.Mutex
 }
 
 // WriteJSON writes the report for programs.
@@ -74,14 +77,14 @@
 type sample struct {
 	phase    string
 	priority model.Priority
-	key      string
+	work     string
 	outcome  model.Outcome
 	took     time.Duration
 	// foreign means that the answer was not the caller's own.
 	foreign bool
 }
 
-// rows sums up the samples; runs counts how often each key ran.
+// rows sums up the samples; runs counts how often each piece of work ran.
 func rows(samples []sample, phases []string, runs map[string]int) []Row {
 	var out []Row
 	for _, phase := range phases {
@@ -109,7 +112,7 @@
 		default:
 			r.Unknown++
 		}
-		if s.key != "" && runs[s.key] > 1 {
+		if s.work != "" && runs[s.work] > 1 {
 			r.RunTwice++
 		}
 	}
--- a/internal/demo/topology.go
+++ b/internal/demo/topology.go
@@ -147,11 +147,11 @@
 	return total
 }
 
-// runs sums the runs of each Idempotency-Key over all endpoints.
+// runs sums the runs of each piece of work over all endpoints.
 func (p *platformStandIns) runs() map[string]int {
 	out := make(map[string]int)
 	for _, e := range p.endpoints {
-		for key, n := range e.AllRuns() {
+		for key, n := range e.Runs() {
 			out[key] += n
 		}
 	}
@@ -183,7 +183,9 @@
 		}
 	}
 	line("minimum 3 5%%")
-	line("callers 127.0.0.0/8 lagos")
+	for i, r := range regions {
+		line("callers 10.%d.0.0/16 %s", i+1, r)
+	}
 	return b.String()
 }
 
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -113,16 +113,13 @@
 	}
 }
 
-// Runs returns how often requests with the Idempotency-Key have started to
-// run.
-func (e *Endpoint) Runs(key string) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.runs[key]
-}
+// WorkHeader names a piece of work over all attempts and keys. Callers in tests
+// set it, so that runs can be counted; the system passes it on like any other
+// header.
+const WorkHeader = "X-Work-Id"
 
-// AllRuns returns a copy of the runs of each Idempotency-Key.
-func (e *Endpoint) AllRuns() map[string]int {
+// Runs returns a copy of how often each piece of work has started to run.
+func (e *Endpoint) Runs() map[string]int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := make(map[string]int, len(e.runs))
@@ -192,11 +189,11 @@
 }
 
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, body []byte) {
-	key := r.Header.Get("Idempotency-Key")
+	work := r.Header.Get(WorkHeader)
 	e.mu.Lock()
 	e.total++
-	if key != "" {
-		e.runs[key]++
+	if work != "" {
+		e.runs[work]++
 	}
 	frozen := e.frozen
 	utilization := float64(e.waiting) / float64(e.cfg.Slots)
@@ -212,7 +209,7 @@
 		return
 	}
 	w.Header().Set("endpoint-load-metrics", fmt.Sprintf("TEXT application_utilization=%.3f", utilization))
-	w.Header().Set("X-Echo-Key", key)
+	w.Header().Set(WorkHeader, work)
 	w.Header().Set("X-Echo-Traceparent", r.Header.Get("Traceparent"))
 	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), body)
 }
