membership: add the member table and its gossip

The table is a join of records ordered by incarnation, version, health and content; only a member itself writes a new version, others raise its health. Idle polls carry a sum of the table and of the topic digests; a digest of 512 bytes is compared only between new neighbours and when sums differ.

--- /dev/null
+++ b/internal/membership/digest.go
@@ -0,0 +1,119 @@
+package membership
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+const (
+	// BucketCount is the number of buckets that the digest of the table has.
+	// At 4,900 members a bucket holds 38 of them, about 4 KB.
+	BucketCount = 128
+	// DigestBytes is the size of the table's digest, for any number of
+	// members. It is sent when two instances become neighbours and when their
+	// sums differ; otherwise only the sum is sent.
+	DigestBytes = 4 * BucketCount
+	// maxRecords bounds the records in one message, to about 0.6 MB.
+	maxRecords = 5000
+)
+
+func bucketOf(id model.InstanceID) int {
+	return int(xxhash.Sum64String(string(id)) % BucketCount)
+}
+
+// count adds a row to its bucket or takes it out again. Dead members are left
+// out, because instances drop their records at different times.
+func (t *Table) count(r *row) {
+	if r.member.ID != "" && r.member.Health != HealthDead {
+		t.buckets[bucketOf(r.member.ID)] ^= r.member.hash()
+	}
+}
+
+// Digest returns the hashes of all buckets.
+func (t *Table) Digest() []byte {
+	buf := make([]byte, 0, DigestBytes)
+	for _, b := range t.buckets {
+		buf = binary.LittleEndian.AppendUint32(buf, b)
+	}
+	return buf
+}
+
+// Sum returns a hash of the table without its dead members.
+func (t *Table) Sum() uint32 { return uint32(xxhash.Sum64(t.Digest())) }
+
+// Seq returns the change counter. It only grows.
+func (t *Table) Seq() uint64 { return t.seq }
+
+// Differing returns the records of the buckets in which this table differs
+// from another one with the given digest, and whether records were left out
+// for their number.
+func (t *Table) Differing(digest []byte) (records []Member, more bool) {
+	if len(digest) != DigestBytes {
+		return nil, false
+	}
+	var differs [BucketCount]bool
+	for i, b := range t.buckets {
+		differs[i] = b != binary.LittleEndian.Uint32(digest[4*i:])
+	}
+	for id, r := range t.rows {
+		if !differs[bucketOf(id)] {
+			continue
+		}
+		if len(records) == maxRecords {
+			return records, true
+		}
+		records = append(records, r.member)
+	}
+	return records, false
+}
+
+// Since returns the records that changed after the given value of the change
+// counter, except those that came from the given neighbour, and the value up
+// to which they are complete.
+func (t *Table) Since(seq uint64, except model.InstanceID) ([]Member, uint64) {
+	var found []*row
+	if len(t.log) > 0 && seq+1 >= t.log[0].seq {
+		found = t.recent(seq)
+	} else {
+		found = t.scan(seq)
+	}
+	upTo := t.seq
+	if len(found) > maxRecords {
+		found = found[:maxRecords]
+		upTo = found[maxRecords-1].changed
+	}
+	var records []Member
+	for _, r := range found {
+		if r.source != except || except == "" {
+			records = append(records, r.member)
+		}
+	}
+	return records, upTo
+}
+
+func (t *Table) recent(seq uint64) []*row {
+	var found []*row
+	for i := len(t.log) - 1; i >= 0 && t.log[i].seq > seq; i-- {
+		c := t.log[i]
+		if r := t.rows[c.id]; r != nil && r.changed == c.seq {
+			found = append(found, r)
+		}
+	}
+	slices.Reverse(found)
+	return found
+}
+
+func (t *Table) scan(seq uint64) []*row {
+	var found []*row
+	for _, r := range t.rows {
+		if r.changed > seq {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(a, b *row) int { return int(a.changed) - int(b.changed) })
+	return found
+}
--- /dev/null
+++ b/internal/membership/soft.go
@@ -0,0 +1,63 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// softPerMember and softMin determine SoftInterval. A record of about
+	// 100 bytes passes an instance about 10 times, so that soft updates cost
+	// at most 2 KB/s at any number of members.
+	softPerMember = 500 * time.Millisecond
+	softMin       = 2 * time.Second
+)
+
+// SoftInterval is the time between two updates of a member's record that are
+// not urgent. All members change some fields at the same time, for example the
+// rules revision, so that the interval grows with their number.
+func SoftInterval(members int) time.Duration {
+	return max(softMin, time.Duration(members)*softPerMember)
+}
+
+// softUpdates are the fields that wait for the next SoftInterval.
+type softUpdates struct {
+	keyPrefix     *string
+	rulesRevision *uint64
+	loadClass     *uint8
+	next          time.Time
+}
+
+// apply moves the fields into a record.
+func (s *softUpdates) apply(m *Member) {
+	move(&m.KeyPrefix, &s.keyPrefix)
+	move(&m.RulesRevision, &s.rulesRevision)
+	move(&m.LoadClass, &s.loadClass)
+}
+
+func move[T any](to *T, from **T) {
+	if *from != nil {
+		*to = **from
+		*from = nil
+	}
+}
+
+func (s *softUpdates) changes(m Member) bool {
+	before := m
+	waiting := *s
+	waiting.apply(&m)
+	return m != before
+}
+
+// due reports whether an update is due. Its time in the interval is random, so
+// that the members don't send theirs all at once.
+func (s *softUpdates) due(now time.Time, interval time.Duration, r *rand.Rand) bool {
+	if s.next.IsZero() {
+		s.next = now.Add(time.Duration(r.Int64N(int64(interval))))
+	}
+	if now.Before(s.next) {
+		return false
+	}
+	s.next = now.Add(interval)
+	return true
+}
--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,325 @@
+package membership
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func member(id string, incarnation model.Incarnation, version uint64, h Health) Member {
+	return Member{ID: model.InstanceID(id), Region: "r", Domain: "r-a", Incarnation: incarnation, Version: version, Health: h}
+}
+
+func newTable(ids ...string) *Table {
+	t := NewTable(epoch, member("self", 1, 1, HealthAlive))
+	for _, id := range ids {
+		t.Merge(epoch, member(id, 1, 1, HealthAlive), "")
+	}
+	return t
+}
+
+func (t *Table) records() map[model.InstanceID]Member {
+	all := map[model.InstanceID]Member{}
+	for id, r := range t.rows {
+		all[id] = r.member
+	}
+	return all
+}
+
+func drawMembers(t *rapid.T) []Member {
+	return rapid.SliceOf(rapid.Custom(func(t *rapid.T) Member {
+		m := member(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"),
+			model.Incarnation(rapid.IntRange(0, 2).Draw(t, "incarnation")),
+			uint64(rapid.IntRange(0, 2).Draw(t, "version")),
+			Health(rapid.IntRange(0, 2).Draw(t, "health")))
+		m.LoadClass = uint8(rapid.IntRange(0, 2).Draw(t, "load"))
+		m.Leaving = rapid.Bool().Draw(t, "leaving")
+		return m
+	})).Draw(t, "members")
+}
+
+// Guards against tables that depend on the order, grouping or repetition of
+// messages, so that instances would disagree for ever. The naive model keeps
+// the largest record by a list of its fields.
+func TestMergeIsAJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := drawMembers(t)
+		shuffled := rapid.Permutation(append(slices.Clone(list), list...)).Draw(t, "order")
+		a, b, c := newTable(), newTable(), newTable()
+		for _, m := range list {
+			a.Merge(epoch, m, "x")
+		}
+		for _, m := range shuffled {
+			b.Merge(epoch, m, "y")
+		}
+		cut := rapid.IntRange(0, len(list)).Draw(t, "cut")
+		half := newTable()
+		for _, m := range list[cut:] {
+			half.Merge(epoch, m, "")
+		}
+		for _, m := range half.records() {
+			c.Merge(epoch, m, "z")
+		}
+		for _, m := range list[:cut] {
+			c.Merge(epoch, m, "z")
+		}
+		naive := map[model.InstanceID]Member{"self": a.Self()}
+		for _, m := range list {
+			if old, ok := naive[m.ID]; !ok || naiveKey(m) > naiveKey(old) {
+				naive[m.ID] = m
+			}
+		}
+		for name, got := range map[string]*Table{"in order": a, "shuffled twice": b, "grouped": c} {
+			if !maps.Equal(got.records(), naive) {
+				t.Fatalf("%s: %v, want %v", name, got.records(), naive)
+			}
+			if got.Sum() != a.Sum() {
+				t.Fatalf("%s: sum differs", name)
+			}
+		}
+	})
+}
+
+func naiveKey(m Member) string {
+	return fmt.Sprintf("%03d %03d %d %v", m.Incarnation, m.Version, m.Health, m)
+}
+
+// Guards against records that the counters or the digests fail to transfer:
+// whatever two tables contain, one comparison of digests makes them equal, and
+// the counters then carry each later change to the other side. Dead members are
+// not in the digests, so that a change may show that the tables differed in
+// one; the next comparison then transfers it.
+func TestTablesBecomeEqual(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := newTable(), newTable()
+		for _, m := range drawMembers(t) {
+			a.Merge(epoch, m, "")
+		}
+		for _, m := range drawMembers(t) {
+			b.Merge(epoch, m, "")
+		}
+		toB, _ := a.Differing(b.Digest())
+		toA, _ := b.Differing(a.Digest())
+		mergeAll(a, toA)
+		mergeAll(b, toB)
+		if a.Sum() != b.Sum() {
+			t.Fatalf("sums differ: %v and %v", a.records(), b.records())
+		}
+		seq := a.Seq()
+		for _, m := range drawMembers(t) {
+			a.Merge(epoch, m, "")
+		}
+		changes, upTo := a.Since(seq, "b")
+		mergeAll(b, changes)
+		for id, m := range a.records() {
+			r := b.rows[id]
+			if m.Health == HealthDead && (r == nil || r.member.Health == HealthDead) {
+				continue
+			}
+			if upTo != a.Seq() || r == nil || compare(m, r.member) > 0 {
+				t.Fatalf("after changes: %v and %v", a.records(), b.records())
+			}
+		}
+		toA, _ = b.Differing(a.Digest())
+		mergeAll(a, toA)
+		if a.Sum() != b.Sum() {
+			t.Fatalf("after changes and a comparison: %v and %v", a.records(), b.records())
+		}
+	})
+}
+
+func mergeAll(t *Table, list []Member) {
+	for _, m := range list {
+		t.Merge(epoch, m, "x")
+	}
+}
+
+// Guards against a death that shows before its subject could refute it, and
+// against a tombstone that is dropped early or kept for ever.
+func TestStatesOverTime(t *testing.T) {
+	x := newTable("a", "b")
+	at := func(d time.Duration) State {
+		x.lastTick = epoch.Add(d)
+		x.Tick(epoch.Add(d))
+		if r := x.rows["a"]; r != nil {
+			return r.state
+		}
+		return 99
+	}
+	x.Merge(epoch, member("a", 1, 1, HealthDead), "b")
+	for _, c := range []struct {
+		after time.Duration
+		want  State
+	}{{0, StateSuspect}, {DeadAfter - 1, StateSuspect}, {DeadAfter, StateDead}, {TombstoneTTL - 1, StateDead}, {TombstoneTTL, 99}} {
+		if got := at(c.after); got != c.want {
+			t.Errorf("after %v: %v, want %v", c.after, got, c.want)
+		}
+	}
+	x.Merge(epoch, member("b", 1, 1, HealthSuspect), "c")
+	if x.Merge(epoch, member("b", 1, 1, HealthAlive), "c"); x.rows["b"].state != StateSuspect {
+		t.Error("a suspicion ended without a new version")
+	}
+	if x.Merge(epoch, member("b", 1, 2, HealthAlive), "c"); x.rows["b"].state != StateAlive {
+		t.Error("a suspicion outlasted its refutation")
+	}
+}
+
+// Guards against a process that declares others dead for the time in which it
+// was itself stopped.
+func TestPauseVoidsMeasurements(t *testing.T) {
+	x := newTable("a", "b", "c")
+	x.Tick(epoch)
+	x.Failed(epoch, "a")
+	x.Merge(epoch, member("b", 1, 1, HealthSuspect), "c")
+	later := epoch.Add(time.Hour)
+	x.Tick(later)
+	if ids := x.ToConfirm(later); len(ids) > 0 || x.rows["b"].state != StateSuspect || x.Paused() != time.Hour {
+		t.Errorf("after the pause: confirming %v, b is %v, paused %v", ids, x.rows["b"].state, x.Paused())
+	}
+	x.Tick(later.Add(time.Second))
+	x.Tick(later.Add(2 * time.Second))
+	x.Tick(later.Add(4 * time.Second))
+	x.Tick(later.Add(6 * time.Second))
+	if x.rows["b"].state != StateDead {
+		t.Errorf("b is %v long after the pause, want dead", x.rows["b"].state)
+	}
+}
+
+// Guards against removing members for a gap of the platform's list or for a
+// list that is mostly empty, and against keeping those that it has dropped.
+func TestListRemovesMembers(t *testing.T) {
+	x := newTable("a", "b", "c")
+	list := func(d time.Duration, ids ...model.InstanceID) {
+		entries := []model.EntryInstance{}
+		for _, id := range ids {
+			entries = append(entries, model.EntryInstance{ID: id})
+		}
+		x.SetListing(epoch.Add(d), entries)
+	}
+	check := func(name string, want State) {
+		t.Helper()
+		if got := x.rows["a"].state; got != want {
+			t.Errorf("%s: %v, want %v", name, got, want)
+		}
+	}
+	list(0, "self", "a", "b", "c")
+	list(time.Hour, "self", "b", "c")
+	check("first list without it after an hour without lists", StateAlive)
+	list(time.Hour+ListGrace-1, "self", "b", "c")
+	check("before the grace ends", StateAlive)
+	list(time.Hour+ListGrace, "self", "b", "c")
+	check("at the end of the grace", StateDead)
+	list(2*time.Hour, "self", "a", "b", "c")
+	check("listed again", StateAlive)
+	list(3*time.Hour, "self")
+	list(4*time.Hour, "self")
+	check("list without over half of the live members", StateAlive)
+	x.SetListing(epoch, []model.EntryInstance{{ID: "a", Leaving: true}, {ID: "b"}, {ID: "c"}})
+	check("leaving by the list", StateLeaving)
+}
+
+// Guards against a delayed own message that counts as news, and against a
+// successor process with the same ID going unnoticed.
+func TestOwnRecord(t *testing.T) {
+	x := newTable()
+	if x.Merge(epoch, member("self", 0, 9, HealthDead), "a") || x.Self().Version != 1 {
+		t.Error("a message of an older incarnation changed the record")
+	}
+	x.Merge(epoch, member("self", 1, 4, HealthDead), "a")
+	if x.Self().Version != 5 || x.Self().Health != HealthAlive {
+		t.Errorf("no refutation: %+v", x.Self())
+	}
+	if x.Superseded() || x.Merge(epoch, member("self", 2, 1, HealthAlive), "a") || !x.Superseded() {
+		t.Error("the later incarnation was not noticed")
+	}
+}
+
+// Guards against neighbours in one failure domain only, none in another
+// region, and against relays that differ between instances.
+func TestNeighboursAndRelays(t *testing.T) {
+	tables := map[model.InstanceID]*Table{}
+	var all []Member
+	for i := range 30 {
+		m := member(fmt.Sprint("m", i), 1, 1, HealthAlive)
+		m.Region = model.Region(fmt.Sprint("r", i%3))
+		m.Domain = model.Domain(fmt.Sprint(m.Region, "-", i/3%2))
+		all = append(all, m)
+	}
+	for _, m := range all {
+		x := NewTable(epoch, m)
+		mergeAll(x, all)
+		tables[m.ID] = x
+	}
+	relayCount := 0
+	for id, x := range tables {
+		near, far := x.Neighbours()
+		own, other := 0, 0
+		for _, n := range near {
+			r := x.rows[n].member
+			if r.Region != x.Self().Region {
+				t.Errorf("%s has the near neighbour %s in %s", id, n, r.Region)
+			}
+			if r.Domain == x.Self().Domain {
+				own++
+			} else {
+				other++
+			}
+		}
+		if own != 2 || other != 2 || len(far) != 1 || x.rows[far[0]].member.Region == x.Self().Region {
+			t.Errorf("%s has neighbours %v and %v", id, near, far)
+		}
+		if x.View(epoch).IsRelay() {
+			relayCount++
+		}
+	}
+	if relayCount != 6 {
+		t.Errorf("%d relays, want 2 in each of 3 regions", relayCount)
+	}
+}
+
+// Guards against table operations that are too slow at the target size of
+// 4,900 members. Also shows the size of the digest.
+func BenchmarkTable4900(b *testing.B) {
+	x := newTable()
+	for i := range 4900 {
+		m := member(fmt.Sprint("instance-", i), 1, 1, HealthAlive)
+		m.Region = model.Region(fmt.Sprint("r", i%10))
+		m.Domain = model.Domain(fmt.Sprint("r", i%36))
+		x.Merge(epoch, m, "n")
+	}
+	b.Run("Tick", func(b *testing.B) {
+		for b.Loop() {
+			x.Tick(epoch)
+		}
+	})
+	b.Run("Choose", func(b *testing.B) {
+		for b.Loop() {
+			x.choose()
+		}
+	})
+	b.Run("View", func(b *testing.B) {
+		for b.Loop() {
+			x.View(epoch)
+		}
+	})
+	b.Run("Sum", func(b *testing.B) {
+		b.ReportMetric(float64(len(x.Digest())), "digest-bytes")
+		for b.Loop() {
+			x.Sum()
+		}
+	})
+	b.Run("Change", func(b *testing.B) {
+		for b.Loop() {
+			x.UpdateSelf(epoch, func(m *Member) { m.Leaving = !m.Leaving })
+			x.Since(x.Seq()-1, "")
+		}
+	})
+}
