membership: hash all fields of a record for digests

TestTablesBecomeEqual found two tables that stayed different: two records with the same incarnation, version and health but other content had the same hash.

--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -114,13 +114,25 @@
 	return cmp.Compare(fmt.Sprint(a), fmt.Sprint(b))
 }
 
-// hash identifies a record in digests.
+// hash identifies a record in digests. It covers all fields, so that digests
+// also show two records of the same version.
 func (m *Member) hash() uint32 {
-	buf := make([]byte, 0, maxNameBytes+32)
-	buf = append(buf, m.ID...)
-	buf = binary.LittleEndian.AppendUint64(buf, uint64(m.Incarnation))
-	buf = binary.LittleEndian.AppendUint64(buf, m.Version)
-	buf = append(buf, byte(m.Health))
+	buf := make([]byte, 0, 512)
+	for _, s := range [...]string{string(m.ID), string(m.Region), string(m.Domain), string(m.Successor), m.KeyPrefix} {
+		buf = append(buf, s...)
+		buf = append(buf, 0)
+	}
+	for _, a := range [...]netip.AddrPort{m.EntryAddr, m.PeerAddr, m.ControlAddr} {
+		buf = a.AppendTo(buf)
+		buf = append(buf, 0)
+	}
+	for _, v := range [...]uint64{uint64(m.Incarnation), m.Version, m.RulesRevision} {
+		buf = binary.LittleEndian.AppendUint64(buf, v)
+	}
+	buf = append(buf, byte(m.Health), m.LoadClass, 0)
+	if m.Leaving {
+		buf[len(buf)-1] = 1
+	}
 	return uint32(xxhash.Sum64(buf))
 }
 
