--- /dev/null
+++ b/internal/lookup/order.go
@@ -0,0 +1,333 @@
+package lookup
+
+import (
+	"cmp"
+	"math"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jujubestile.example/jujubestile/internal/membership"
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/rules"
+)
+
+const (
+	// MaxEntries bounds the instances that a caller is given.
+	MaxEntries = 5
+	// maxOwnRegion of them are in the caller's region. The rest are in others,
+	// so that a caller still knows an instance when its region fails.
+	maxOwnRegion = 4
+	// weightStep is the part of its callers that an instance loses with each
+	// load class. The most loaded one keeps 30 %.
+	weightStep = 0.1
+	// blockBits4 and blockBits6 are the sizes of the blocks of callers that
+	// the rules don't list.
+	blockBits4 = 24
+	blockBits6 = 48
+)
+
+// Distances gives for each region the others, the nearest first. Regions that
+// are not listed come last.
+type Distances map[model.Region][]model.Region
+
+// candidate is an instance with what its score needs.
+type candidate struct {
+	membership.Status
+	hash      uint64
+	invWeight float64
+}
+
+// Directory is an immutable picture of what lookups need.
+type Directory struct {
+	table   *Table
+	view    *membership.View
+	set     *rules.Set
+	regions map[model.Region]*regionEntries
+	// suspects may be named after all others.
+	suspects []candidate
+	// orders is the order of the other regions for callers of each region.
+	orders map[model.Region][]model.Region
+}
+
+// regionEntries are the instances of a region that callers may use.
+type regionEntries struct {
+	candidates []candidate
+	// domains is the number of failure domains that they are in.
+	domains int
+}
+
+// NewDirectory prepares lookups. The table must come from the same rules.
+func NewDirectory(table *Table, view *membership.View, set *rules.Set, distances Distances) *Directory {
+	d := &Directory{
+		table:   table,
+		view:    view,
+		set:     set,
+		regions: map[model.Region]*regionEntries{},
+		orders:  map[model.Region][]model.Region{},
+	}
+	for _, m := range view.Members {
+		d.add(m)
+	}
+	for _, r := range d.regions {
+		r.countDomains()
+	}
+	d.orderRegions(distances)
+	return d
+}
+
+func (d *Directory) add(m membership.Status) {
+	if refusal(m, d.set) != "" {
+		return
+	}
+	c := candidate{
+		Status:    m,
+		hash:      hashOf(m.ID),
+		invWeight: invWeight(m.LoadClass),
+	}
+	if m.State == membership.StateSuspect {
+		d.suspects = append(d.suspects, c)
+		return
+	}
+	r := d.regions[m.Region]
+	if r == nil {
+		r = &regionEntries{}
+		d.regions[m.Region] = r
+	}
+	r.candidates = append(r.candidates, c)
+}
+
+func hashOf(id model.InstanceID) uint64 { return xxhash.Sum64String(string(id)) }
+
+func invWeight(loadClass uint8) float64 { return 1 / (1 - weightStep*float64(loadClass)) }
+
+// refusal says why an instance is not named, or is empty.
+func refusal(m membership.Status, set *rules.Set) string {
+	switch {
+	case m.State == membership.StateDead:
+		return "dead"
+	case m.State == membership.StateLeaving:
+		return "leaving"
+	case set.DrainInstances[m.ID]:
+		return "drained by a rule for the instance"
+	case set.DrainDomains[m.Domain]:
+		return "drained by a rule for its failure domain"
+	case !m.EntryAddr.IsValid():
+		return "no address for callers known"
+	}
+	return ""
+}
+
+func (r *regionEntries) countDomains() {
+	seen := map[model.Domain]bool{}
+	for _, c := range r.candidates {
+		seen[c.Domain] = true
+	}
+	r.domains = len(seen)
+}
+
+func (d *Directory) orderRegions(distances Distances) {
+	known := map[model.Region]bool{d.view.Self.Region: true}
+	for r := range d.set.Regions {
+		known[r] = true
+	}
+	for r := range d.regions {
+		known[r] = true
+	}
+	sorted := make([]model.Region, 0, len(known))
+	for r := range known {
+		sorted = append(sorted, r)
+	}
+	slices.Sort(sorted)
+	for r := range known {
+		d.orders[r] = regionOrder(r, distances[r], sorted)
+	}
+}
+
+func regionOrder(own model.Region, near, all []model.Region) []model.Region {
+	order := []model.Region{own}
+	for _, list := range [...][]model.Region{near, all} {
+		for _, r := range list {
+			if !slices.Contains(order, r) {
+				order = append(order, r)
+			}
+		}
+	}
+	return order
+}
+
+// Answer is the ordered list of instances for a caller.
+type Answer struct {
+	// Region is the caller's region, or that of this instance if no rule
+	// covers the caller.
+	Region model.Region
+	// Block is the block of addresses that gets the same answer.
+	Block netip.Prefix
+	// Listed reports whether a rule covers the caller.
+	Listed  bool
+	Entries []membership.Status
+}
+
+// Lookup returns the instances that a caller should use.
+func (d *Directory) Lookup(addr netip.Addr) Answer {
+	a := d.locate(addr)
+	key := blockHash(a.Block)
+	order, ok := d.orders[a.Region]
+	if !ok {
+		order = append([]model.Region{a.Region}, d.orders[d.view.Self.Region]...)
+	}
+	var top best
+	a.Entries = make([]membership.Status, 0, MaxEntries)
+	own := 0
+	for i, region := range order {
+		room := MaxEntries - len(a.Entries)
+		if i == 0 {
+			room = maxOwnRegion
+		}
+		a.Entries = d.appendRegion(a.Entries, &top, region, key, room)
+		if i == 0 {
+			own = len(a.Entries)
+		}
+		if len(a.Entries) == MaxEntries {
+			break
+		}
+	}
+	if len(a.Entries) < MaxEntries && own == maxOwnRegion {
+		a.Entries = d.appendFifth(a.Entries, &top, a.Region, key)
+	}
+	top.fill(d.suspects, key, MaxEntries-len(a.Entries))
+	a.Entries = top.appendTo(a.Entries)
+	return a
+}
+
+// appendFifth adds another instance of the own region if there are none in
+// other regions.
+func (d *Directory) appendFifth(list []membership.Status, top *best, region model.Region, key uint64) []membership.Status {
+	top.fill(d.regions[region].candidates, key, MaxEntries)
+	for i := range top.n {
+		s := &top.items[i].c.Status
+		if len(list) < MaxEntries && !slices.ContainsFunc(list, func(m membership.Status) bool { return m.ID == s.ID }) {
+			list = append(list, *s)
+		}
+	}
+	return list
+}
+
+func (d *Directory) locate(addr netip.Addr) Answer {
+	addr = addr.Unmap().WithZone("")
+	if m, ok := d.table.Lookup(addr); ok {
+		return Answer{Region: m.Region, Block: m.Prefix, Listed: true}
+	}
+	bits := blockBits6
+	if addr.Is4() {
+		bits = blockBits4
+	}
+	block, _ := addr.Prefix(bits)
+	return Answer{Region: d.view.Self.Region, Block: block}
+}
+
+func blockHash(p netip.Prefix) uint64 {
+	b := p.Addr().As16()
+	var buf [17]byte
+	copy(buf[:], b[:])
+	buf[16] = byte(p.Bits())
+	return xxhash.Sum64(buf[:])
+}
+
+// appendRegion adds up to n instances of a region. If all would be in one
+// failure domain although there are others, the last one is replaced by the
+// best of these.
+func (d *Directory) appendRegion(list []membership.Status, top *best, region model.Region, key uint64, n int) []membership.Status {
+	r := d.regions[region]
+	if r == nil {
+		return list
+	}
+	top.fill(r.candidates, key, n)
+	if r.domains > 1 && n > 1 && top.sameDomain() {
+		domain := top.items[0].c.Domain
+		var other best
+		other.fillExcept(r.candidates, key, 1, domain)
+		top.items[top.n-1] = other.items[0]
+	}
+	return top.appendTo(list)
+}
+
+// scored is a candidate with its cost for a block; the lowest is the best.
+type scored struct {
+	cost float64
+	c    *candidate
+}
+
+// best holds the best candidates in order.
+type best struct {
+	items [MaxEntries]scored
+	n     int
+}
+
+func (b *best) fill(list []candidate, key uint64, n int) { b.fillExcept(list, key, n, "") }
+
+func (b *best) fillExcept(list []candidate, key uint64, n int, except model.Domain) {
+	b.n = 0
+	n = min(n, MaxEntries)
+	if n <= 0 {
+		return
+	}
+	for i := range list {
+		c := &list[i]
+		if except != "" && c.Domain == except {
+			continue
+		}
+		b.offer(scored{c.cost(key), c}, n)
+	}
+}
+
+// offer inserts an item if it is among the n best.
+func (b *best) offer(s scored, n int) {
+	if b.n == n && !s.better(b.items[n-1]) {
+		return
+	}
+	if b.n < n {
+		b.n++
+	}
+	i := b.n - 1
+	for ; i > 0 && s.better(b.items[i-1]); i-- {
+		b.items[i] = b.items[i-1]
+	}
+	b.items[i] = s
+}
+
+func (s scored) better(other scored) bool {
+	return cmp.Or(cmp.Compare(s.cost, other.cost), cmp.Compare(s.c.ID, other.c.ID)) < 0
+}
+
+func (b *best) sameDomain() bool {
+	for i := 1; i < b.n; i++ {
+		if b.items[i].c.Domain != b.items[0].c.Domain {
+			return false
+		}
+	}
+	return b.n > 1
+}
+
+func (b *best) appendTo(list []membership.Status) []membership.Status {
+	for i := range b.n {
+		list = append(list, b.items[i].c.Status)
+	}
+	return list
+}
+
+// cost is that of weighted rendezvous hashing: with u evenly spread over
+// (0, 1), the lowest -ln(u)/weight is at an instance in proportion to its
+// weight, and a change of one weight moves only callers of that instance.
+func (c *candidate) cost(key uint64) float64 {
+	u := (float64(mix(c.hash^key)>>11) + 0.5) / (1 << 53)
+	return -math.Log(u) * c.invWeight
+}
+
+// mix spreads the bits of x (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
