lookup: shrink the build of the table and skip most logarithms

Ranges hold the length of their prefix in place of an index into a copy of all prefixes, and the build keeps no last addresses.

--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -111,11 +111,12 @@
 func BenchmarkCapacityLookup(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			table := NewTable(randomBlocks(n))
+			blocks := randomBlocks(n)
+			table := NewTable(blocks)
 			addrs := make([]netip.Addr, 1<<16)
 			r := rand.New(rand.NewPCG(3, 4))
 			for i := range addrs {
-				addrs[i] = table.prefixes[r.IntN(n)].Addr().Next()
+				addrs[i] = blocks[r.IntN(n)].Prefix.Addr().Next()
 			}
 			b.ReportAllocs()
 			i := 0
@@ -141,8 +142,9 @@
 
 // Guards against an allocation on the path of each lookup.
 func TestLookupDoesNotAllocate(t *testing.T) {
-	table := NewTable(randomBlocks(1000))
-	addr := table.prefixes[3].Addr()
+	blocks := randomBlocks(1000)
+	table := NewTable(blocks)
+	addr := blocks[3].Prefix.Addr()
 	if n := testing.AllocsPerRun(100, func() { table.Lookup(addr) }); n != 0 {
 		t.Errorf("%v allocations, want none", n)
 	}
@@ -336,25 +338,52 @@
 	}
 }
 
-// BenchmarkCapacityLookupHandler answers requests at the target size of 490
-// instances in each of 10 regions.
-func BenchmarkCapacityLookupHandler(b *testing.B) {
+func bigService(n int) *Service {
+	view := &membership.View{Self: membership.Member{Region: "r0"}}
+	for i := range n {
+		region := fmt.Sprint("r", i%10)
+		view.Members = append(view.Members, status(i, region, fmt.Sprint(region, "-", i/10%4)))
+	}
+	s := NewService(func() *membership.View { return view })
+	s.SetRules(&rules.Set{Callers: randomBlocks(400_000)}, nil)
+	return s
+}
+
+// BenchmarkCapacityLookupOrder orders the instances for a caller, with 490
+// instances in each of 10 regions at the target size.
+func BenchmarkCapacityLookupOrder(b *testing.B) {
 	for _, n := range []int{20, 4900} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			view := &membership.View{Self: membership.Member{Region: "r0"}}
-			for i := range n {
-				region := fmt.Sprint("r", i%10)
-				view.Members = append(view.Members, status(i, region, fmt.Sprint(region, "-", i/10%4)))
+			d := bigService(n).Directory()
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				d.Lookup(callerAt(i & 0xffff))
+				i++
 			}
-			s := NewService(func() *membership.View { return view })
-			s.SetRules(&rules.Set{Callers: randomBlocks(400_000)}, nil)
+		})
+	}
+}
+
+// BenchmarkCapacityLookupHandler answers requests in one goroutine. The
+// request is built outside of the handler, but within the measurement.
+func BenchmarkCapacityLookupHandler(b *testing.B) {
+	for _, n := range []int{20, 4900} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := bigService(n)
+			r := httptest.NewRequest(http.MethodGet, "/v1/entries?caller=20.1.2.3", nil)
 			b.ReportAllocs()
-			b.RunParallel(func(pb *testing.PB) {
-				for i := 0; pb.Next(); i++ {
-					r := httptest.NewRequest(http.MethodGet, "/v1/entries?caller="+callerAt(i).String(), nil)
-					s.ServeHTTP(httptest.NewRecorder(), r)
-				}
-			})
+			for b.Loop() {
+				s.ServeHTTP(httptest.NewRecorder(), r)
+			}
 		})
 	}
 }
+
+// BenchmarkCapacityLookupDirectory prepares lookups after a change of members.
+func BenchmarkCapacityLookupDirectory(b *testing.B) {
+	s := bigService(4900)
+	for b.Loop() {
+		NewDirectory(s.table, s.view(), s.set, nil)
+	}
+}
--- a/internal/lookup/order.go
+++ b/internal/lookup/order.go
@@ -1,7 +1,6 @@
 package lookup
 
 import (
-	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -278,7 +277,9 @@
 		if except != "" && c.Domain == except {
 			continue
 		}
-		b.offer(scored{c.cost(key), c}, n)
+		if u := c.draw(key); b.n < n || (1-u)*c.invWeight <= b.items[n-1].cost {
+			b.offer(scored{c.costOf(u), c}, n)
+		}
 	}
 }
 
@@ -298,7 +299,10 @@
 }
 
 func (s scored) better(other scored) bool {
-	return cmp.Or(cmp.Compare(s.cost, other.cost), cmp.Compare(s.c.ID, other.c.ID)) < 0
+	if s.cost != other.cost {
+		return s.cost < other.cost
+	}
+	return s.c.ID < other.c.ID
 }
 
 func (b *best) sameDomain() bool {
@@ -317,14 +321,17 @@
 	return list
 }
 
-// cost is that of weighted rendezvous hashing: with u evenly spread over
-// (0, 1), the lowest -ln(u)/weight is at an instance in proportion to its
-// weight, and a change of one weight moves only callers of that instance.
-func (c *candidate) cost(key uint64) float64 {
-	u := (float64(mix(c.hash^key)>>11) + 0.5) / (1 << 53)
-	return -math.Log(u) * c.invWeight
+// draw returns a number evenly spread over (0, 1) for an instance and a block.
+func (c *candidate) draw(key uint64) float64 {
+	return (float64(mix(c.hash^key)>>11) + 0.5) / (1 << 53)
 }
 
+// costOf is the cost of weighted rendezvous hashing: the lowest -ln(u)/weight
+// is at an instance in proportion to its weight, and a change of one weight
+// moves only callers of that instance. Since -ln(u) is at least 1-u, most
+// candidates are ruled out without a logarithm.
+func (c *candidate) costOf(u float64) float64 { return -math.Log(u) * c.invWeight }
+
 // mix spreads the bits of x (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
--- a/internal/lookup/ranges.go
+++ b/internal/lookup/ranges.go
@@ -4,7 +4,7 @@
 
 const (
 	// noBlock marks a range that no block covers.
-	noBlock = -1
+	noBlock = 255
 	// indexBits is the number of leading address bits that the index
 	// resolves. With 16 bits it takes 256 KB and leaves about 7 of 400,000
 	// evenly spread ranges to search.
@@ -18,14 +18,19 @@
 // where the next one starts.
 type ranges[A any] struct {
 	starts []A
-	// blocks is the index of the block of each range, or noBlock.
-	blocks  []int32
-	regions []uint16
+	owners []owner
 	// heads is, for each value of the leading bits, the first range that
 	// starts at or above it. Its last element is the number of ranges.
 	heads []uint32
 }
 
+// owner is the block that a range belongs to.
+type owner struct {
+	region uint16
+	// bits is the length of the block's prefix, or noBlock.
+	bits uint8
+}
+
 func (r *ranges[A]) index(key func(A) uint32) {
 	if len(r.starts) == 0 {
 		return
@@ -41,6 +46,8 @@
 	r.heads[1<<indexBits] = uint32(len(r.starts))
 }
 
+func indexKey4(a uint32) uint32 { return a >> (32 - indexBits) }
+
 // indexKey6 is monotonic: addresses outside of global unicast go to its ends.
 func indexKey6(a uint128) uint32 {
 	switch a.hi >> (64 - index6Skip) {
@@ -52,35 +59,27 @@
 	return 1<<indexBits - 1
 }
 
-func (r *ranges[A]) setRegions(regionOf []uint16) {
-	r.regions = make([]uint16, len(r.blocks))
-	for i, b := range r.blocks {
-		if b != noBlock {
-			r.regions[i] = regionOf[b]
-		}
-	}
+func (r *ranges[A]) bytes() int {
+	var a A
+	return len(r.starts)*int(unsafe.Sizeof(a)+unsafe.Sizeof(owner{})) + 4*len(r.heads)
 }
 
-func (r *ranges[A]) at(i uint32) (int32, uint16) {
+// before returns the owner of the range before the given one.
+func (r *ranges[A]) before(i uint32) owner {
 	if i == 0 {
-		return noBlock, 0
+		return owner{bits: noBlock}
 	}
-	return r.blocks[i-1], r.regions[i-1]
-}
-
-func (r *ranges[A]) bytes() int {
-	var a A
-	return len(r.starts)*(int(unsafe.Sizeof(a))+4+2) + 4*len(r.heads)
+	return r.owners[i-1]
 }
 
-// find4 and find6 return the block and region of the last range that starts
-// at or below the address. They are two functions, because a generic one would
-// call its comparison through a function value.
-func find4(r *ranges[uint32], a uint32) (int32, uint16) {
+// find4 and find6 return the owner of the last range that starts at or below
+// the address. They are two functions, because a generic one would call its
+// comparison through a function value.
+func find4(r *ranges[uint32], a uint32) owner {
 	if len(r.heads) == 0 {
-		return noBlock, 0
+		return owner{bits: noBlock}
 	}
-	k := a >> (32 - indexBits)
+	k := indexKey4(a)
 	lo, hi := r.heads[k], r.heads[k+1]
 	for lo < hi {
 		mid := (lo + hi) / 2
@@ -90,12 +89,12 @@
 			hi = mid
 		}
 	}
-	return r.at(lo)
+	return r.before(lo)
 }
 
-func find6(r *ranges[uint128], a uint128) (int32, uint16) {
+func find6(r *ranges[uint128], a uint128) owner {
 	if len(r.heads) == 0 {
-		return noBlock, 0
+		return owner{bits: noBlock}
 	}
 	k := indexKey6(a)
 	lo, hi := r.heads[k], r.heads[k+1]
@@ -107,5 +106,5 @@
 			hi = mid
 		}
 	}
-	return r.at(lo)
+	return r.before(lo)
 }
--- a/internal/lookup/table.go
+++ b/internal/lookup/table.go
@@ -5,8 +5,6 @@
 	"cmp"
 	"encoding/binary"
 	"net/netip"
-	"slices"
-	"unsafe"
 
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
@@ -20,10 +18,10 @@
 // starts at or below the address. An index by the leading bits of the address
 // narrows the search to a few ranges.
 type Table struct {
-	regions  []model.Region
-	prefixes []netip.Prefix
-	v4       ranges[uint32]
-	v6       ranges[uint128]
+	regions []model.Region
+	blocks  int
+	v4      ranges[uint32]
+	v6      ranges[uint128]
 }
 
 // Match is the result of a lookup.
@@ -40,42 +38,41 @@
 	return cmp.Or(cmp.Compare(a.hi, b.hi), cmp.Compare(a.lo, b.lo))
 }
 
-// entry is a block during the build; first and last are its addresses.
-type entry[A any] struct {
-	first, last A
-	bits        int
-	block       int32
+// NewTable builds a table. Of equal prefixes the last one wins. Blocks with an
+// invalid prefix are left out.
+func NewTable(blocks []rules.CallerBlock) *Table {
+	t := &Table{blocks: len(blocks)}
+	v4, v6 := t.split(blocks)
+	t.v4 = cut(v4, family[uint32]{cmp.Compare[uint32], last4, next4})
+	t.v6 = cut(v6, family[uint128]{uint128.compare, last6, next6})
+	t.v4.index(indexKey4)
+	t.v6.index(indexKey6)
+	return t
 }
 
-// NewTable builds a table. Of equal prefixes the last one wins.
-func NewTable(blocks []rules.CallerBlock) *Table {
-	t := &Table{}
+// split numbers the regions and sorts the blocks into the two families.
+func (t *Table) split(blocks []rules.CallerBlock) ([]entry[uint32], []entry[uint128]) {
+	count4 := 0
+	for i := range blocks {
+		if unmapped(blocks[i].Prefix).Addr().Is4() {
+			count4++
+		}
+	}
+	v4 := make([]entry[uint32], 0, count4)
+	v6 := make([]entry[uint128], 0, len(blocks)-count4)
 	ids := map[model.Region]uint16{}
-	var v4 []entry[uint32]
-	var v6 []entry[uint128]
-	regionOf := make([]uint16, 0, len(blocks))
-	t.prefixes = make([]netip.Prefix, 0, len(blocks))
-	for i, b := range blocks {
-		p := unmapped(b.Prefix)
-		t.prefixes = append(t.prefixes, p)
-		regionOf = append(regionOf, t.regionID(ids, b.Region))
+	for i := range blocks {
+		p := unmapped(blocks[i].Prefix)
+		region := t.regionID(ids, blocks[i].Region)
 		switch {
 		case !p.IsValid():
 		case p.Addr().Is4():
-			first, last := bounds4(p)
-			v4 = append(v4, entry[uint32]{first, last, p.Bits(), int32(i)})
+			v4 = append(v4, entry[uint32]{number4(p.Addr()), int32(i), region, uint8(p.Bits())})
 		default:
-			first, last := bounds6(p)
-			v6 = append(v6, entry[uint128]{first, last, p.Bits(), int32(i)})
+			v6 = append(v6, entry[uint128]{number6(p.Addr()), int32(i), region, uint8(p.Bits())})
 		}
 	}
-	t.v4 = cut(v4, cmp.Compare[uint32], func(a uint32) (uint32, bool) { return a + 1, a+1 != 0 })
-	t.v6 = cut(v6, uint128.compare, next128)
-	t.v4.index(func(a uint32) uint32 { return a >> (32 - indexBits) })
-	t.v6.index(indexKey6)
-	t.v4.setRegions(regionOf)
-	t.v6.setRegions(regionOf)
-	return t
+	return v4, v6
 }
 
 func (t *Table) regionID(ids map[model.Region]uint16, r model.Region) uint16 {
@@ -99,112 +96,31 @@
 // Lookup returns the region of an address. It does not allocate.
 func (t *Table) Lookup(addr netip.Addr) (Match, bool) {
 	addr = addr.Unmap()
-	var block int32
-	var region uint16
+	var owner owner
 	if addr.Is4() {
-		b := addr.As4()
-		a := binary.BigEndian.Uint32(b[:])
-		block, region = find4(&t.v4, a)
+		owner = find4(&t.v4, number4(addr))
 	} else {
-		b := addr.As16()
-		a := uint128{binary.BigEndian.Uint64(b[:8]), binary.BigEndian.Uint64(b[8:])}
-		block, region = find6(&t.v6, a)
+		owner = find6(&t.v6, number6(addr))
 	}
-	if block < 0 {
+	if owner.bits == noBlock {
 		return Match{}, false
 	}
-	return Match{t.regions[region], t.prefixes[block]}, true
+	prefix, _ := addr.Prefix(int(owner.bits))
+	return Match{t.regions[owner.region], prefix}, true
 }
 
 // Len returns the number of blocks.
-func (t *Table) Len() int { return len(t.prefixes) }
+func (t *Table) Len() int { return t.blocks }
 
 // Bytes returns the memory that the table holds.
-func (t *Table) Bytes() int {
-	return len(t.prefixes)*int(unsafe.Sizeof(netip.Prefix{})) + t.v4.bytes() + t.v6.bytes()
-}
-
-func bounds4(p netip.Prefix) (first, last uint32) {
-	b := p.Addr().As4()
-	first = binary.BigEndian.Uint32(b[:])
-	return first, first | uint32(uint64(1)<<(32-p.Bits())-1)
-}
-
-func bounds6(p netip.Prefix) (first, last uint128) {
-	b := p.Addr().As16()
-	first = uint128{binary.BigEndian.Uint64(b[:8]), binary.BigEndian.Uint64(b[8:])}
-	last = first
-	if p.Bits() < 64 {
-		last.hi |= ^uint64(0) >> p.Bits()
-		last.lo = ^uint64(0)
-	} else {
-		last.lo |= ^uint64(0) >> (p.Bits() - 64)
-	}
-	return first, last
-}
+func (t *Table) Bytes() int { return t.v4.bytes() + t.v6.bytes() }
 
-func next128(a uint128) (uint128, bool) {
-	a.lo++
-	if a.lo == 0 {
-		a.hi++
-	}
-	return a, a != uint128{}
-}
-
-// cut turns nested blocks into disjoint ranges. Blocks either contain each
-// other or are disjoint, so that one pass with a stack of the open ones does.
-func cut[A comparable](blocks []entry[A], compare func(a, b A) int, next func(A) (A, bool)) ranges[A] {
-	slices.SortFunc(blocks, func(a, b entry[A]) int {
-		return cmp.Or(compare(a.first, b.first), cmp.Compare(a.bits, b.bits), cmp.Compare(a.block, b.block))
-	})
-	c := cutter[A]{next: next}
-	c.out.starts = make([]A, 0, len(blocks)+len(blocks)/4+1)
-	c.out.blocks = make([]int32, 0, len(blocks)+len(blocks)/4+1)
-	for _, b := range blocks {
-		for len(c.open) > 0 && compare(c.open[len(c.open)-1].last, b.first) < 0 {
-			c.close()
-		}
-		c.open = append(c.open, b)
-		c.emit(b.first, b.block)
-	}
-	for len(c.open) > 0 {
-		c.close()
-	}
-	c.out.starts = slices.Clip(c.out.starts)
-	c.out.blocks = slices.Clip(c.out.blocks)
-	return c.out
-}
-
-type cutter[A comparable] struct {
-	out  ranges[A]
-	open []entry[A]
-	next func(A) (A, bool)
+func number4(a netip.Addr) uint32 {
+	b := a.As4()
+	return binary.BigEndian.Uint32(b[:])
 }
 
-// emit starts a range. One that starts where the last one did replaces it.
-func (c *cutter[A]) emit(start A, block int32) {
-	if n := len(c.out.starts); n > 0 && c.out.starts[n-1] == start {
-		c.out.blocks[n-1] = block
-		return
-	}
-	c.out.starts = append(c.out.starts, start)
-	c.out.blocks = append(c.out.blocks, block)
-}
-
-// close ends the innermost open block; the range after it belongs to the
-// block around it, or to none.
-func (c *cutter[A]) close() {
-	ended := c.open[len(c.open)-1]
-	c.open = c.open[:len(c.open)-1]
-	after, ok := c.next(ended.last)
-	if !ok {
-		return
-	}
-	if len(c.open) == 0 {
-		c.emit(after, noBlock)
-		return
-	}
-	if outer := c.open[len(c.open)-1]; outer.last != ended.last {
-		c.emit(after, outer.block)
-	}
+func number6(a netip.Addr) uint128 {
+	b := a.As16()
+	return uint128{binary.BigEndian.Uint64(b[:8]), binary.BigEndian.Uint64(b[8:])}
 }
