--- a/internal/lookup/explain.go
+++ b/internal/lookup/explain.go
@@ -64,11 +64,11 @@
 	return r.Position
 }
 
-func (d *Directory) reason(m membership.Status, answer Answer, key uint64) InstanceReason {
+func (d *Directory) reason(m *membership.Status, answer Answer, key uint64) InstanceReason {
 	r := InstanceReason{ID: m.ID, Region: m.Region, Domain: m.Domain, State: m.State.String(), LoadClass: m.LoadClass}
 	c := candidate{Status: m, hash: hashOf(m.ID), invWeight: invWeight(m.LoadClass)}
 	r.Cost = c.costOf(c.draw(key))
-	r.Position = 1 + slices.IndexFunc(answer.Entries, func(s membership.Status) bool { return s.ID == m.ID })
+	r.Position = 1 + slices.IndexFunc(answer.Entries, func(s *membership.Status) bool { return s.ID == m.ID })
 	refused := refusal(m, d.set)
 	switch {
 	case refused != "":
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -150,9 +150,9 @@
 	}
 }
 
-func status(i int, region, domain string) membership.Status {
+func status(i int, region, domain string) *membership.Status {
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i >> 8), byte(i)}), 80)
-	return membership.Status{Member: membership.Member{
+	return &membership.Status{Member: membership.Member{
 		ID: model.InstanceID(fmt.Sprint(domain, "-", i)), Region: model.Region(region), Domain: model.Domain(domain),
 		EntryAddr: addr, KeyPrefix: fmt.Sprint("p", i),
 	}}
@@ -276,7 +276,7 @@
 		t.Errorf("%d entries although all are drained", n)
 	}
 	oneRegion := fleet(60)
-	oneRegion.Members = slices.DeleteFunc(oneRegion.Members, func(m membership.Status) bool { return m.Region != "r2" })
+	oneRegion.Members = slices.DeleteFunc(oneRegion.Members, func(m *membership.Status) bool { return m.Region != "r2" })
 	if a := directory(oneRegion, &rules.Set{Callers: set.Callers}).Lookup(callerAt(0)); len(a.Entries) != MaxEntries {
 		t.Errorf("%d entries with one region, want %d", len(a.Entries), MaxEntries)
 	}
@@ -329,8 +329,8 @@
 	}
 	changed := *view
 	changed.Members = slices.Clone(view.Members)
-	for i := range changed.Members {
-		changed.Members[i].State = membership.StateDead
+	for i, m := range changed.Members {
+		changed.Members[i] = &membership.Status{Member: m.Member, State: membership.StateDead}
 	}
 	view = &changed
 	if w, _ := get("GET", "/v1/entries"); w.Code != 503 || w.Header().Get("Retry-After") != "1" {
--- a/internal/lookup/order.go
+++ b/internal/lookup/order.go
@@ -33,7 +33,7 @@
 
 // candidate is an instance with what its score needs.
 type candidate struct {
-	membership.Status
+	*membership.Status
 	hash      uint64
 	invWeight float64
 }
@@ -76,7 +76,7 @@
 	return d
 }
 
-func (d *Directory) add(m membership.Status) {
+func (d *Directory) add(m *membership.Status) {
 	if refusal(m, d.set) != "" {
 		return
 	}
@@ -102,7 +102,7 @@
 func invWeight(loadClass uint8) float64 { return 1 / (1 - weightStep*float64(loadClass)) }
 
 // refusal says why an instance is not named, or is empty.
-func refusal(m membership.Status, set *rules.Set) string {
+func refusal(m *membership.Status, set *rules.Set) string {
 	switch {
 	case m.State == membership.StateDead:
 		return "dead"
@@ -165,7 +165,7 @@
 	Block netip.Prefix
 	// Listed reports whether a rule covers the caller.
 	Listed  bool
-	Entries []membership.Status
+	Entries []*membership.Status
 }
 
 // Lookup returns the instances that a caller should use.
@@ -177,7 +177,7 @@
 		order = append([]model.Region{a.Region}, d.orders[d.view.Self.Region]...)
 	}
 	var top best
-	a.Entries = make([]membership.Status, 0, MaxEntries)
+	a.Entries = make([]*membership.Status, 0, MaxEntries)
 	own := 0
 	for i, region := range order {
 		room := MaxEntries - len(a.Entries)
@@ -202,12 +202,12 @@
 
 // appendFifth adds another instance of the own region if there are none in
 // other regions.
-func (d *Directory) appendFifth(list []membership.Status, top *best, region model.Region, key uint64) []membership.Status {
+func (d *Directory) appendFifth(list []*membership.Status, top *best, region model.Region, key uint64) []*membership.Status {
 	top.fill(d.regions[region].candidates, key, MaxEntries)
 	for i := range top.n {
-		s := &top.items[i].c.Status
-		if len(list) < MaxEntries && !slices.ContainsFunc(list, func(m membership.Status) bool { return m.ID == s.ID }) {
-			list = append(list, *s)
+		s := top.items[i].c.Status
+		if len(list) < MaxEntries && !slices.ContainsFunc(list, func(m *membership.Status) bool { return m.ID == s.ID }) {
+			list = append(list, s)
 		}
 	}
 	return list
@@ -237,7 +237,7 @@
 // appendRegion adds up to n instances of a region. If all would be in one
 // failure domain although there are others, the last one is replaced by the
 // best of these.
-func (d *Directory) appendRegion(list []membership.Status, top *best, region model.Region, key uint64, n int) []membership.Status {
+func (d *Directory) appendRegion(list []*membership.Status, top *best, region model.Region, key uint64, n int) []*membership.Status {
 	r := d.regions[region]
 	if r == nil {
 		return list
@@ -314,7 +314,7 @@
 	return b.n > 1
 }
 
-func (b *best) appendTo(list []membership.Status) []membership.Status {
+func (b *best) appendTo(list []*membership.Status) []*membership.Status {
 	for i := range b.n {
 		list = append(list, b.items[i].c.Status)
 	}
--- a/internal/lookup/service.go
+++ b/internal/lookup/service.go
@@ -124,8 +124,7 @@
 	}
 	body := entriesBody{TTLMS: TTL.Milliseconds(), Region: answer.Region}
 	body.Entries = make([]entryBody, 0, len(answer.Entries))
-	for i := range answer.Entries {
-		m := &answer.Entries[i]
+	for _, m := range answer.Entries {
 		body.Entries = append(body.Entries, entryBody{m.ID, m.EntryAddr, m.Region, m.Domain, m.KeyPrefix})
 	}
 	w.Header().Set("Cache-Control", cacheControl)
--- a/internal/membership/health.go
+++ b/internal/membership/health.go
@@ -180,13 +180,13 @@
 }
 
 // Unreached returns the listed instances that are not known to be alive.
-func (t *Table) Unreached() []model.EntryInstance {
-	var list []model.EntryInstance
-	for id, e := range t.listing {
+func (t *Table) Unreached() []model.InstanceID {
+	var ids []model.InstanceID
+	for id := range t.listing {
 		r := t.rows[id]
 		if r == nil || (r != t.self && r.member.Health == HealthDead) {
-			list = append(list, e)
+			ids = append(ids, id)
 		}
 	}
-	return list
+	return ids
 }
--- a/internal/membership/neighbours.go
+++ b/internal/membership/neighbours.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"jujubestile.example/jujubestile/internal/model"
 )
@@ -51,110 +50,37 @@
 			sameDomain = append(sameDomain, id)
 		}
 	}
-	rank(string(own.ID), sameDomain)
-	rank(string(own.ID), otherDomain)
-	rank(string(own.ID), otherRegion)
-	near = slices.Clone(first(otherDomain, max(otherDomainNeighbours, nearNeighbours-len(sameDomain))))
-	near = append(near, first(sameDomain, nearNeighbours-len(near))...)
-	return near, slices.Clone(first(otherRegion, farNeighbours))
+	key := string(own.ID)
+	near = top(key, otherDomain, max(otherDomainNeighbours, nearNeighbours-len(sameDomain)))
+	near = append(near, top(key, sameDomain, nearNeighbours-len(near))...)
+	return near, top(key, otherRegion, farNeighbours)
 }
 
-// rank sorts ids by their rendezvous score for key, the highest first.
-func rank(key string, ids []model.InstanceID) {
-	scores := make(map[model.InstanceID]uint64, len(ids))
-	for _, id := range ids {
-		scores[id] = score(key, string(id))
-	}
-	slices.SortFunc(ids, func(a, b model.InstanceID) int {
-		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
-	})
-}
-
-func first(ids []model.InstanceID, n int) []model.InstanceID {
-	return ids[:min(n, len(ids))]
-}
-
-// Status is a member with its state.
-type Status struct {
-	Member
-	State State
-}
-
-// View is an immutable picture of the members.
-type View struct {
-	// Self is the own record.
-	Self Member
-	// Members are sorted by ID. Dead ones are included while their records
-	// are kept.
-	Members []Status
-	// Relays are the members of each region that watch the store.
-	Relays map[model.Region][]model.InstanceID
-	// Distrusted means that over half of the neighbours do not answer, so
-	// that the view may be out of date.
-	Distrusted bool
-	// Shape changes whenever the set of members, their states, regions or
-	// domains do; Seq also when a record does.
-	Shape, Seq uint64
-	// Made is when the view was made.
-	Made time.Time
-}
-
-// Get returns a member.
-func (v *View) Get(id model.InstanceID) (Status, bool) {
-	i, ok := slices.BinarySearchFunc(v.Members, id, func(s Status, id model.InstanceID) int {
-		return cmp.Compare(s.ID, id)
-	})
-	if !ok {
-		return Status{}, false
-	}
-	return v.Members[i], true
-}
-
-// IsRelay reports whether the own instance watches the store for its region.
-func (v *View) IsRelay() bool {
-	return slices.Contains(v.Relays[v.Self.Region], v.Self.ID)
-}
-
-// View returns a picture of the table.
-func (t *Table) View(now time.Time) *View {
-	v := &View{Self: t.self.member, Distrusted: t.Distrusted(), Shape: t.shape, Seq: t.seq, Made: now}
-	v.Members = make([]Status, 0, len(t.rows))
-	for _, r := range t.rows {
-		v.Members = append(v.Members, Status{r.member, r.state})
+// top returns the n ids with the highest rendezvous score for key, the highest
+// first. It is called for each change of the members, so it does not sort all.
+func top(key string, ids []model.InstanceID, n int) []model.InstanceID {
+	type scored struct {
+		score uint64
+		id    model.InstanceID
 	}
-	slices.SortFunc(v.Members, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
-	v.Relays = relays(v.Members)
-	return v
-}
-
-// relays ranks the members of each region. Alive members come before suspect
-// and leaving ones, because a region needs relays also while it drains.
-func relays(members []Status) map[model.Region][]model.InstanceID {
-	ranked := map[model.Region][]Status{}
-	for _, m := range members {
-		if m.State != StateDead {
-			ranked[m.Region] = append(ranked[m.Region], m)
-		}
-	}
-	chosen := make(map[model.Region][]model.InstanceID, len(ranked))
-	for region, list := range ranked {
-		slices.SortFunc(list, func(a, b Status) int {
-			return cmp.Or(
-				cmp.Compare(relayClass(a.State), relayClass(b.State)),
-				cmp.Compare(score(string(region), string(b.ID)), score(string(region), string(a.ID))),
-				cmp.Compare(a.ID, b.ID),
-			)
+	n = max(0, min(n, len(ids)))
+	best := make([]scored, 0, n+1)
+	for _, id := range ids {
+		s := scored{score(key, string(id)), id}
+		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
 		})
-		for _, m := range list[:min(relaysPerRegion, len(list))] {
-			chosen[region] = append(chosen[region], m.ID)
+		if at < n {
+			best = slices.Insert(best, at, s)[:min(len(best)+1, n)]
 		}
 	}
+	chosen := make([]model.InstanceID, len(best))
+	for i, s := range best {
+		chosen[i] = s.id
+	}
 	return chosen
 }
 
-func relayClass(s State) int {
-	if s == StateAlive {
-		return 0
-	}
-	return 1
+func first(ids []model.InstanceID, n int) []model.InstanceID {
+	return ids[:min(n, len(ids))]
 }
--- /dev/null
+++ b/internal/membership/notices_test.go
@@ -0,0 +1,85 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// Guards against an endpoint that some instances still send work to 2 s after
+// one of them has learned that it leaves, and the same for its return.
+func TestNoticesSpread(t *testing.T) {
+	all := map[*Notices]bool{}
+	topics := func() []Topic {
+		n := NewNotices(nil)
+		all[n] = true
+		return []Topic{n}
+	}
+	simulate(t, 100, topics, func(c *cluster) {
+		reporter := c.nodes["r0-0"]
+		own := reporter.topics[NoticesTopic].(*Notices)
+		for _, leaving := range []bool{true, false} {
+			if !own.Report(time.Now(), "results-7", leaving) {
+				t.Fatal("the change is not news to the one who reports it")
+			}
+			reporter.Notify(NoticesTopic)
+			took := c.until("notice", 2*time.Second, func(n *Node) bool {
+				return n.topics[NoticesTopic].(*Notices).Leaving("results-7") == leaving
+			})
+			t.Logf("leaving=%v known at 100 instances after %v", leaving, took)
+		}
+		c.add(1, topics)
+		c.until("notices at a new instance", 5*time.Second, func(n *Node) bool {
+			return len(n.topics[NoticesTopic].(*Notices).List()) == 1
+		})
+	})
+}
+
+// Guards against notices that end differently by the order of messages, and
+// against news that does not make two instances equal.
+func TestNoticesMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		a, b := NewNotices(nil), NewNotices(nil)
+		for range rapid.IntRange(0, 10).Draw(t, "reports") {
+			at := rapid.SampledFrom([]*Notices{a, b}).Draw(t, "at")
+			at.Report(now, model.EndpointID(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "id")), rapid.Bool().Draw(t, "leaving"))
+		}
+		fromA, fromB := a.News(b.Digest()), b.News(a.Digest())
+		for _, step := range []struct {
+			to   *Notices
+			news []byte
+		}{{b, fromA}, {a, fromB}, {a, fromB}, {a, a.News(nil)}} {
+			if step.news == nil {
+				continue
+			}
+			if _, err := step.to.Merge(step.news); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if string(a.Digest()) != string(b.Digest()) || a.News(b.Digest()) != nil {
+			t.Fatalf("%v and %v", a.List(), b.List())
+		}
+	})
+}
+
+// Guards against old notices that come back after they were dropped, and
+// against malformed news.
+func TestNoticesExpire(t *testing.T) {
+	old, fresh := NewNotices(nil), NewNotices(nil)
+	old.Report(time.Now().Add(-NoticeTTL-time.Second), "x", true)
+	if changed, err := fresh.Merge(old.News(nil)); changed || err != nil || fresh.Leaving("x") {
+		t.Errorf("an old notice came back: %v, %v", changed, err)
+	}
+	if _, err := fresh.Merge([]byte("nonsense")); err == nil {
+		t.Error("malformed news accepted")
+	}
+	fresh.Report(time.Now(), "y", true)
+	fresh.Expire(time.Now().Add(NoticeTTL + time.Second))
+	if len(fresh.List()) != 0 || fresh.Digest() != nil {
+		t.Errorf("%v kept, digest %v", fresh.List(), fresh.Digest())
+	}
+}
--- a/internal/membership/reach.go
+++ b/internal/membership/reach.go
@@ -77,14 +77,14 @@
 	}
 	var due []model.InstanceID
 	waiting := map[model.InstanceID]*retry{}
-	for _, e := range n.table.Unreached() {
-		r := n.retries[e.ID]
+	for _, id := range n.table.Unreached() {
+		r := n.retries[id]
 		if r == nil {
 			r = &retry{pause: reachMin}
 		}
-		waiting[e.ID] = r
-		if e.ID != n.table.Self().ID && !now.Before(r.next) {
-			due = append(due, e.ID)
+		waiting[id] = r
+		if id != n.table.self.member.ID && !now.Before(r.next) {
+			due = append(due, id)
 		}
 	}
 	n.retries = waiting
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -45,8 +45,10 @@
 	delisted bool
 	// listedLeaving means that the platform is about to stop the member.
 	listedLeaving bool
-	// state is what the view shows.
+	// state is what the view shows, and shown its record there, or nil after
+	// a change.
 	state State
+	shown *Status
 }
 
 type change struct {
@@ -71,6 +73,9 @@
 	// of the set of members and of their states, regions and domains.
 	shape      uint64
 	neighbours neighbourCache
+	relays     relayCache
+	// sorted has the rows by ID, or is nil after a change of the set.
+	sorted     []*row
 	superseded bool
 	paused     time.Duration
 }
@@ -86,7 +91,7 @@
 	self.Version = max(self.Version, 1)
 	self.Health = HealthAlive
 	t.self = &row{}
-	t.rows[self.ID] = t.self
+	t.insert(self.ID, t.self)
 	t.put(now, t.self, self, "")
 	return t
 }
@@ -110,7 +115,7 @@
 	r := t.rows[m.ID]
 	if r == nil {
 		r = &row{}
-		t.rows[m.ID] = r
+		t.insert(m.ID, r)
 	} else if compare(m, r.member) <= 0 {
 		return false
 	}
@@ -151,6 +156,7 @@
 		t.shape++
 	}
 	r.member = m
+	r.shown = nil
 	r.source = source
 	t.count(r)
 	t.seq++
@@ -171,6 +177,7 @@
 func (t *Table) refresh(now time.Time, r *row) {
 	if state := t.stateOf(now, r); state != r.state {
 		r.state = state
+		r.shown = nil
 		t.shape++
 	}
 }
@@ -193,9 +200,16 @@
 	return StateAlive
 }
 
+func (t *Table) insert(id model.InstanceID, r *row) {
+	t.rows[id] = r
+	t.sorted = nil
+	t.shape++
+}
+
 // remove drops the record of a dead member.
 func (t *Table) remove(id model.InstanceID) {
 	delete(t.rows, id)
 	delete(t.unwell, id)
+	t.sorted = nil
 	t.shape++
 }
