membership: compute unreached members only after a change

It took 17 % of the time of the traffic test with 500 instances, a pass over the list for each instance and second.

--- a/internal/membership/health.go
+++ b/internal/membership/health.go
@@ -141,6 +141,7 @@
 	if len(entries) == 0 {
 		return false
 	}
+	t.listings++
 	clear(t.listing)
 	for _, e := range entries {
 		t.listing[e.ID] = e
@@ -179,14 +180,26 @@
 	return 2*listed >= live
 }
 
-// Unreached returns the listed instances that are not known to be alive.
+// unreachedCache holds the last result of Unreached, because it is asked for
+// each second and takes a pass over the list.
+type unreachedCache struct {
+	shape, listings uint64
+	ids             []model.InstanceID
+}
+
+// Unreached returns the listed instances that are not known to be alive. The
+// result is shared and must not be changed.
 func (t *Table) Unreached() []model.InstanceID {
-	var ids []model.InstanceID
+	c := &t.unreached
+	if c.shape == t.shape && c.listings == t.listings {
+		return c.ids
+	}
+	*c = unreachedCache{shape: t.shape, listings: t.listings}
 	for id := range t.listing {
 		r := t.rows[id]
 		if r == nil || (r != t.self && r.member.Health == HealthDead) {
-			ids = append(ids, id)
+			c.ids = append(c.ids, id)
 		}
 	}
-	return ids
+	return c.ids
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -66,9 +66,11 @@
 	log     []change
 	buckets [BucketCount]uint32
 
-	listing  map[model.InstanceID]model.EntryInstance
-	failing  map[model.InstanceID]time.Time
-	lastTick time.Time
+	listing   map[model.InstanceID]model.EntryInstance
+	listings  uint64
+	unreached unreachedCache
+	failing   map[model.InstanceID]time.Time
+	lastTick  time.Time
 	// shape counts changes that matter to the choice of neighbours and relays:
 	// of the set of members and of their states, regions and domains.
 	shape      uint64
