membership: sharpen tests whose mechanism could be taken out unnoticed

Each mechanism was taken out through an overlay. These had passed without it: random pings (new TestUnwatchedMember), distrust for too few failures (new TestDistrust), the state in digests, the tie rule of notices, and pings, because long polls that end soon after the pause also show it. The in-memory network now holds answers of a paused instance until the caller's deadline. A notice's version is now a time that only grows: a plain counter starts again after the notice was dropped and loses against an old notice elsewhere.

--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -150,10 +150,17 @@
 		_ = target.Ping(&PingArgs{Target: args.Target, ctx: ctx}, reply.(*PingReply))
 	}
 	w.c.rules.RLock()
-	blocked = w.c.blocked(w.from, to) || w.c.nodes[to] != target
+	blocked = w.c.blocked(w.from, to)
+	stopped := w.c.nodes[to] != target
 	w.c.rules.RUnlock()
+	if stopped {
+		return peer.ErrUnreachable
+	}
 	sleep(ctx, latency)
-	if blocked || ctx.Err() != nil {
+	if blocked {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
 		return peer.ErrUnreachable
 	}
 	w.c.sent(string(w.from)+"<"+string(to), "", reply)
--- a/internal/membership/gossip_test.go
+++ b/internal/membership/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,16 +78,19 @@
 }
 
 // Guards against a process that was paused and stays dead for the others
-// after it runs again, and against its own view breaking down.
+// after it runs again, and against its own view breaking down. The pause starts
+// in the middle of all long polls, so that only pings can detect it in time.
 func TestPauseAndReturn(t *testing.T) {
 	simulate(t, 20, nil, func(c *cluster) {
+		time.Sleep(pollWait / 2)
 		c.setBlocked(func(a, b model.InstanceID) bool { return a == "r0-0" || b == "r0-0" })
-		time.Sleep(10 * time.Second)
-		for id, n := range c.nodes {
-			if id != "r0-0" && state(n, "r0-0") != StateDead {
-				t.Errorf("%s sees %v, want dead", id, state(n, "r0-0"))
-			}
+		others := func(want ...State) func(*Node) bool {
+			return func(n *Node) bool { return n.self().ID == "r0-0" || slices.Contains(want, state(n, "r0-0")) }
 		}
+		suspect := c.until("suspicion", 2600*time.Millisecond, others(StateSuspect, StateDead))
+		dead := c.until("death", 4*time.Second, others(StateDead))
+		t.Logf("silent instance suspect after %v, dead after %v", suspect, suspect+dead)
+		time.Sleep(10 * time.Second)
 		if n := alive(c.nodes["r0-0"]); n != 20 {
 			t.Errorf("the paused one sees %d alive, want its last view of 20", n)
 		}
@@ -95,32 +99,77 @@
 	})
 }
 
-// Guards against islands that stay apart after regions lost each other for an
-// hour, and against members that look dead while the islands join.
+// Guards against islands that stay apart after regions lost each other for a
+// minute, when each side still has the records of the other one as dead, or
+// for an hour, when it has none; and against members that look dead to their
+// own region while the islands join.
 func TestPartitionAndMerge(t *testing.T) {
-	simulate(t, 18, nil, func(c *cluster) {
-		c.setBlocked(func(a, b model.InstanceID) bool { return (a[:2] == "r0") != (b[:2] == "r0") })
-		time.Sleep(time.Hour)
-		for id, n := range c.nodes {
-			want := 12
-			if id[:2] == "r0" {
-				want = 6
-			}
-			if alive(n) != want {
-				t.Errorf("%s sees %d alive in the partition, want %d", id, alive(n), want)
-			}
+	for _, length := range []time.Duration{time.Minute, time.Hour} {
+		t.Run(length.String(), func(t *testing.T) {
+			simulate(t, 18, nil, func(c *cluster) { partition(c, length) })
+		})
+	}
+}
+
+func partition(c *cluster, length time.Duration) {
+	c.setBlocked(func(a, b model.InstanceID) bool { return (a[:2] == "r0") != (b[:2] == "r0") })
+	time.Sleep(length)
+	for id, n := range c.nodes {
+		want := 12
+		if id[:2] == "r0" {
+			want = 6
 		}
-		c.setBlocked(func(_, _ model.InstanceID) bool { return false })
-		took := c.until("merge", 30*time.Second, func(n *Node) bool {
-			for _, m := range n.View().Members {
-				if m.State == StateDead && m.ID[:2] == n.self().ID[:2] {
-					t.Errorf("%s sees %s of its own region dead", n.self().ID, m.ID)
-				}
+		if alive(n) != want {
+			c.t.Errorf("%s sees %d alive in the partition, want %d", id, alive(n), want)
+		}
+	}
+	c.setBlocked(func(_, _ model.InstanceID) bool { return false })
+	took := c.until("merge", 30*time.Second, func(n *Node) bool {
+		for _, m := range n.View().Members {
+			if m.State == StateDead && m.ID[:2] == n.self().ID[:2] {
+				c.t.Errorf("%s sees %s of its own region dead", n.self().ID, m.ID)
 			}
-			return alive(n) == 18
-		})
-		t.Logf("merged after %v", took)
+		}
+		return alive(n) == 18
 	})
+	c.t.Logf("merged after %v", took)
+}
+
+// Guards against a member that no instance has as its neighbour and that stays
+// alive for all of them after it is gone.
+func TestUnwatchedMember(t *testing.T) {
+	simulate(t, 30, nil, func(c *cluster) {
+		ghost := c.unwatched()
+		c.rules.Lock()
+		c.list = append(c.list, model.EntryInstance{ID: ghost.ID})
+		c.rules.Unlock()
+		c.nodes["r0-0"].mergeMembers([]Member{ghost}, "")
+		c.until("its record", time.Second, func(n *Node) bool { return state(n, ghost.ID) == StateAlive })
+		took := c.until("its death", 2*time.Minute, func(n *Node) bool { return state(n, ghost.ID) == StateDead })
+		t.Logf("a member without neighbours is dead after %v", took)
+	})
+}
+
+// unwatched returns a member that no instance would choose as its neighbour.
+func (c *cluster) unwatched() Member {
+	for i := 0; ; i++ {
+		m := Member{ID: model.InstanceID(fmt.Sprint("ghost-", i)), Region: "r0", Domain: "r0-a", Incarnation: 1, Version: 1}
+		chosen := false
+		for _, n := range c.nodes {
+			n.mu.Lock()
+			x := NewTable(time.Now(), n.table.Self())
+			for _, r := range n.table.rows {
+				x.Merge(time.Now(), r.member, "")
+			}
+			n.mu.Unlock()
+			x.Merge(time.Now(), m, "")
+			near, far := x.Neighbours()
+			chosen = chosen || slices.Contains(near, m.ID) || slices.Contains(far, m.ID)
+		}
+		if !chosen {
+			return m
+		}
+	}
 }
 
 // Guards against a restarted instance that is taken for its predecessor, and
--- a/internal/membership/notices.go
+++ b/internal/membership/notices.go
@@ -31,32 +31,27 @@
 type Notice struct {
 	Endpoint model.EndpointID
 	Leaving  bool
-	// Version counts the changes of the endpoint that anybody has reported. A
-	// counter is used because the platform's list has no time of its own and
-	// clocks differ.
-	Version uint64
-	// At is when the change was reported, in seconds since the Unix epoch by
-	// the clock of the reporter. It only limits how long the notice is kept.
-	At int64
+	// Version is the time of the report in seconds since the Unix epoch by the
+	// reporter's clock, or one more than the version known there if that is
+	// larger. A plain counter would start again after NoticeTTL and lose
+	// against an old notice that others still keep; a plain time would lose
+	// against the last report by a clock that is ahead.
+	Version int64
 }
 
 // newer orders the notices of an endpoint. If two instances report opposite
-// changes at the same time, leaving wins: to send no new work to an endpoint
+// changes in the same second, leaving wins: to send no new work to an endpoint
 // that stays is the smaller fault.
 func (n Notice) newer(old Notice) bool {
-	if c := cmp.Compare(n.Version, old.Version); c != 0 {
-		return c > 0
+	if n.Version != old.Version {
+		return n.Version > old.Version
 	}
-	if n.Leaving != old.Leaving {
-		return n.Leaving
-	}
-	return n.At > old.At
+	return n.Leaving && !old.Leaving
 }
 
 func (n Notice) hash() uint32 {
 	buf := append(make([]byte, 0, maxNameBytes+24), n.Endpoint...)
-	buf = binary.LittleEndian.AppendUint64(buf, n.Version)
-	buf = binary.LittleEndian.AppendUint64(buf, uint64(n.At))
+	buf = binary.LittleEndian.AppendUint64(buf, uint64(n.Version))
 	if n.Leaving {
 		buf = append(buf, 1)
 	}
@@ -66,8 +61,7 @@
 // Notices is the topic that spreads endpoint notices. Its zero value is not
 // usable.
 type Notices struct {
-	// OnChange is called with each notice that is news here, without locks
-	// held. It may be called concurrently.
+	// onChange is called without locks held, and may be called concurrently.
 	onChange func(Notice)
 
 	mu      sync.RWMutex
@@ -95,7 +89,7 @@
 		t.mu.Unlock()
 		return false
 	}
-	n := Notice{Endpoint: id, Leaving: leaving, Version: old.Version + 1, At: now.Unix()}
+	n := Notice{Endpoint: id, Leaving: leaving, Version: max(old.Version+1, now.Unix())}
 	kept := t.put(now, n)
 	t.mu.Unlock()
 	if kept {
@@ -136,7 +130,7 @@
 }
 
 func (n Notice) expired(now time.Time) bool {
-	return now.Sub(time.Unix(n.At, 0)) >= NoticeTTL
+	return now.Sub(time.Unix(n.Version, 0)) >= NoticeTTL
 }
 
 func noticeBucket(id model.EndpointID) int {
--- a/internal/membership/notices_test.go
+++ b/internal/membership/notices_test.go
@@ -46,7 +46,8 @@
 		a, b := NewNotices(nil), NewNotices(nil)
 		for range rapid.IntRange(0, 10).Draw(t, "reports") {
 			at := rapid.SampledFrom([]*Notices{a, b}).Draw(t, "at")
-			at.Report(now, model.EndpointID(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "id")), rapid.Bool().Draw(t, "leaving"))
+			when := now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "seconds")) * time.Second)
+			at.Report(when, model.EndpointID(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "id")), rapid.Bool().Draw(t, "leaving"))
 		}
 		fromA, fromB := a.News(b.Digest()), b.News(a.Digest())
 		for _, step := range []struct {
@@ -66,8 +67,8 @@
 	})
 }
 
-// Guards against old notices that come back after they were dropped, and
-// against malformed news.
+// Guards against old notices that come back after they were dropped or win
+// over newer ones, and against malformed news.
 func TestNoticesExpire(t *testing.T) {
 	old, fresh := NewNotices(nil), NewNotices(nil)
 	old.Report(time.Now().Add(-NoticeTTL-time.Second), "x", true)
@@ -78,7 +79,13 @@
 		t.Error("malformed news accepted")
 	}
 	fresh.Report(time.Now(), "y", true)
-	fresh.Expire(time.Now().Add(NoticeTTL + time.Second))
+	fresh.Report(time.Now(), "y", false)
+	again := NewNotices(nil)
+	again.Report(time.Now().Add(time.Hour), "y", true)
+	if _, err := fresh.Merge(again.News(nil)); err != nil || !fresh.Leaving("y") {
+		t.Errorf("a report after the old notice was dropped lost against it: %v, %v", fresh.List(), err)
+	}
+	fresh.Expire(time.Now().Add(time.Hour + NoticeTTL + time.Second))
 	if len(fresh.List()) != 0 || fresh.Digest() != nil {
 		t.Errorf("%v kept, digest %v", fresh.List(), fresh.Digest())
 	}
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -34,6 +34,13 @@
 	return all
 }
 
+// living returns the records of members that are not dead.
+func (t *Table) living() map[model.InstanceID]Member {
+	all := t.records()
+	maps.DeleteFunc(all, func(_ model.InstanceID, m Member) bool { return m.Health == HealthDead })
+	return all
+}
+
 func drawMembers(t *rapid.T) []Member {
 	return rapid.SliceOf(rapid.Custom(func(t *rapid.T) Member {
 		m := member(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"),
@@ -110,8 +117,8 @@
 		toA, _ := b.Differing(a.Digest())
 		mergeAll(a, toA)
 		mergeAll(b, toB)
-		if a.Sum() != b.Sum() {
-			t.Fatalf("sums differ: %v and %v", a.records(), b.records())
+		if a.Sum() != b.Sum() || !maps.Equal(a.living(), b.living()) {
+			t.Fatalf("after a comparison: %v and %v", a.records(), b.records())
 		}
 		seq := a.Seq()
 		for _, m := range drawMembers(t) {
@@ -130,7 +137,7 @@
 		}
 		toA, _ = b.Differing(a.Digest())
 		mergeAll(a, toA)
-		if a.Sum() != b.Sum() {
+		if a.Sum() != b.Sum() || !maps.Equal(a.living(), b.living()) {
 			t.Fatalf("after changes and a comparison: %v and %v", a.records(), b.records())
 		}
 	})
@@ -285,6 +292,30 @@
 	}
 }
 
+// Guards against suspicions while over half of the neighbours fail, and
+// against none while fewer do.
+func TestDistrust(t *testing.T) {
+	x := newTable("a", "b", "c", "d")
+	later := epoch.Add(SuspectAfter)
+	for failing, id := range []model.InstanceID{"a", "b", "c"} {
+		x.Failed(epoch, id)
+		want := failing + 1
+		if want > 2 {
+			want = 0
+		}
+		if ids := x.ToConfirm(later); len(ids) != want || x.Distrusted() != (want == 0) {
+			t.Errorf("%d of 4 fail: confirming %v, distrusted %v", failing+1, ids, x.Distrusted())
+		}
+	}
+	if x.Suspect(later, "a") {
+		t.Error("suspected a member although most fail")
+	}
+	x.Answered("c")
+	if len(x.ToConfirm(epoch.Add(SuspectAfter-1))) != 0 || !x.Suspect(later, "a") {
+		t.Error("suspected too early or not at all")
+	}
+}
+
 // Guards against table operations that are too slow at the target size of
 // 4,900 members. Also shows the size of the digest.
 func BenchmarkTable4900(b *testing.B) {
