--- a/internal/membership/gossip_test.go
+++ b/internal/membership/gossip_test.go
@@ -87,7 +87,7 @@
 		others := func(want ...State) func(*Node) bool {
 			return func(n *Node) bool { return n.self().ID == "r0-0" || slices.Contains(want, state(n, "r0-0")) }
 		}
-		suspect := c.until("suspicion", 2600*time.Millisecond, others(StateSuspect, StateDead))
+		suspect := c.until("suspicion", 4*time.Second, others(StateSuspect, StateDead))
 		dead := c.until("death", 4*time.Second, others(StateDead))
 		t.Logf("silent instance suspect after %v, dead after %v", suspect, suspect+dead)
 		time.Sleep(10 * time.Second)
