--- a/internal/configsync/confirm.go
+++ b/internal/configsync/confirm.go
@@ -8,10 +8,10 @@
 // confirm gives the written document to the relays until more than half have
 // it in force and none has another branch. If it forked from another one,
 // a relay issues one of the two again; the store then shows which was
-// overruled.
-func (e *Editor) confirm(ctx context.Context, r Request, doc Document) Result {
+// overruled. The base saves most of the transfer and may be zero.
+func (e *Editor) confirm(ctx context.Context, r Request, base, doc Document) Result {
 	for failures := 0; ; failures++ {
-		detail := e.offer(ctx, doc)
+		detail := e.offer(ctx, base, doc)
 		if detail == "" {
 			e.keepHistory(ctx, doc)
 			return Result{Outcome: Accepted, Head: doc.headOf(r)}
@@ -25,7 +25,7 @@
 		}
 		switch current.fateOf(r.EditID) {
 		case fateContained:
-			doc = current
+			base, doc = Document{}, current
 		case fateOverruled:
 			return *e.conflict(ctx, r, current)
 		}
@@ -35,13 +35,13 @@
 // offer puts the document in force at the relays. It returns what keeps the
 // document from being accepted, or "". An instance that is no relay takes the
 // document last, as it would not give up one that is overruled later.
-func (e *Editor) offer(ctx context.Context, doc Document) string {
+func (e *Editor) offer(ctx context.Context, base, doc Document) string {
 	if e.IsRelay() {
 		if v, err := e.State.Take(doc); err != nil || v == Refused {
 			return fmt.Sprintf("revision %d forked from the one in force at this instance", doc.Revision)
 		}
 	}
-	answers, asked := e.Fleet.Offer(ctx, doc)
+	answers, asked := e.Fleet.Offer(ctx, base, doc)
 	confirmed := 0
 	for _, a := range answers {
 		switch r := a.Head.relate(doc.Head); {
--- a/internal/configsync/edit.go
+++ b/internal/configsync/edit.go
@@ -99,7 +99,7 @@
 			return e.unlessUncertain(uncertain, *failed)
 		}
 		if base.present != nil {
-			return e.confirm(ctx, r, *base.present)
+			return e.confirm(ctx, r, Document{}, *base.present)
 		}
 		doc := base.doc.edit(r, e.Now(), base.floor)
 		w := e.write(ctx, base.kv.Revision, doc)
@@ -108,7 +108,7 @@
 		case w.failed != nil:
 			return e.unlessUncertain(uncertain, *w.failed)
 		case w.written:
-			return e.confirm(ctx, r, doc)
+			return e.confirm(ctx, r, base.doc, doc)
 		}
 	}
 	return e.unlessUncertain(uncertain, Result{Outcome: Unavailable, Detail: "the store changed during each of several attempts; try again"})
--- a/internal/configsync/fleet.go
+++ b/internal/configsync/fleet.go
@@ -29,9 +29,10 @@
 	// Heads returns what the relays that answer have in force, and how many
 	// were asked.
 	Heads(ctx context.Context) (answers []Answer, asked int)
-	// Offer gives the relays a document and returns what those that answer
-	// have in force after it.
-	Offer(ctx context.Context, d Document) (answers []Answer, asked int)
+	// Offer gives the relays a document, to those with its base as a delta,
+	// and returns what those that answer have in force after it. Without a
+	// known base, base is zero.
+	Offer(ctx context.Context, base, d Document) (answers []Answer, asked int)
 	// Fetch returns the document in force at an instance.
 	Fetch(ctx context.Context, from model.InstanceID) (Document, error)
 }
@@ -68,20 +69,19 @@
 
 // OfferArgs are the arguments of Service.Offer.
 type OfferArgs struct {
-	Document []byte
+	// News is a message of the gossip topic.
+	News []byte
 }
 
-// Offer puts the document in force if it is newer than the present one and
-// descends from it, and returns the head of what is in force afterwards.
+// Offer puts a document in force if it is newer than the present one and
+// descends from it, and returns the head of what is in force afterwards. A
+// delta that does not fit changes nothing.
 func (s *Service) Offer(args OfferArgs, reply *Reply) error {
-	d, err := Decode(args.Document)
-	if err != nil {
-		return errors.Trace(err)
-	}
 	if !s.state.Informed() {
 		return errors.NotYetAvailablef("rules document")
 	}
-	if _, err := s.state.Take(d); err != nil {
+	_, _, err := s.state.merge(args.News)
+	if err != nil && !errors.Is(err, rules.ErrDeltaMismatch) {
 		return errors.Trace(err)
 	}
 	return s.reply(true, reply)
@@ -115,16 +115,31 @@
 
 // Heads implements Fleet.
 func (f *PeerFleet) Heads(ctx context.Context) ([]Answer, int) {
-	return f.each(ctx, "Fetch", FetchArgs{HeadOnly: true})
+	return f.each(func(to model.InstanceID) (Head, error) {
+		return f.head(ctx, to, "Fetch", FetchArgs{HeadOnly: true})
+	})
 }
 
 // Offer implements Fleet.
-func (f *PeerFleet) Offer(ctx context.Context, d Document) ([]Answer, int) {
-	b, err := d.Encode()
-	if err != nil {
-		return nil, len(f.others())
+func (f *PeerFleet) Offer(ctx context.Context, base, d Document) ([]Answer, int) {
+	whole := encodeNews(d, nil)
+	delta := encodeNews(d, appendStep(nil, base, d))
+	return f.each(func(to model.InstanceID) (Head, error) {
+		h, err := f.head(ctx, to, "Offer", OfferArgs{News: delta})
+		if err != nil || h.relate(d.Head) != older || len(delta) == len(whole) {
+			return h, err
+		}
+		return f.head(ctx, to, "Offer", OfferArgs{News: whole})
+	})
+}
+
+// head makes a call that returns a head.
+func (f *PeerFleet) head(ctx context.Context, to model.InstanceID, method string, args any) (Head, error) {
+	var r Reply
+	if err := f.call(ctx, to, method, args, &r); err != nil {
+		return Head{}, errors.Trace(err)
 	}
-	return f.each(ctx, "Offer", OfferArgs{Document: b})
+	return r.head()
 }
 
 // Fetch implements Fleet.
@@ -150,8 +165,8 @@
 	return f.Caller.Call(ctx, to, ServiceName+"."+method, args, r)
 }
 
-// each calls all other relays at once.
-func (f *PeerFleet) each(ctx context.Context, method string, args any) ([]Answer, int) {
+// each asks all other relays at once.
+func (f *PeerFleet) each(ask func(to model.InstanceID) (Head, error)) ([]Answer, int) {
 	others := f.others()
 	var (
 		wg      sync.WaitGroup
@@ -160,11 +175,7 @@
 	)
 	for _, id := range others {
 		wg.Go(func() {
-			var r Reply
-			if f.call(ctx, id, method, args, &r) != nil {
-				return
-			}
-			h, err := r.head()
+			h, err := ask(id)
 			if err != nil {
 				return
 			}
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,35 +116,40 @@
 	return d
 }
 
-// direct calls the services of other instances as net/rpc would, through gob.
-type direct map[model.InstanceID]*Service
+// direct calls the services of other instances as net/rpc would, through gob,
+// and counts the bytes of arguments.
+type direct struct {
+	services map[model.InstanceID]*Service
+	sent     atomic.Int64
+}
 
-func (c direct) Call(_ context.Context, to model.InstanceID, method string, args, reply any) error {
+func (c *direct) Call(_ context.Context, to model.InstanceID, method string, args, reply any) error {
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(args); err != nil {
 		return err
 	}
-	switch decoder := gob.NewDecoder(&b); method {
+	c.sent.Add(int64(b.Len()))
+	decoder := gob.NewDecoder(&b)
+	switch method {
 	case "Rules.Fetch":
 		var a FetchArgs
-		return errors.Annotatef(cmpErr(decoder.Decode(&a), func() error { return c[to].Fetch(a, reply.(*Reply)) }), "%s", to)
+		if err := decoder.Decode(&a); err != nil {
+			return err
+		}
+		return c.services[to].Fetch(a, reply.(*Reply))
 	case "Rules.Offer":
 		var a OfferArgs
-		return errors.Annotatef(cmpErr(decoder.Decode(&a), func() error { return c[to].Offer(a, reply.(*Reply)) }), "%s", to)
+		if err := decoder.Decode(&a); err != nil {
+			return err
+		}
+		return c.services[to].Offer(a, reply.(*Reply))
 	}
 	return errors.NotFoundf("method %s", method)
 }
 
-func cmpErr(err error, next func() error) error {
-	if err != nil {
-		return err
-	}
-	return next()
-}
-
 // relays returns the editors of n relays that share a store.
 func relays(n int, m *memory) []*Editor {
-	services := direct{}
+	calls := &direct{services: map[model.InstanceID]*Service{}}
 	var ids []model.InstanceID
 	var editors []*Editor
 	for i := range n {
@@ -151,8 +157,8 @@
 		s.setInformed(true)
 		id := model.InstanceID(fmt.Sprint("r", i))
 		ids = append(ids, id)
-		services[id] = NewService(s)
-		fleet := &PeerFleet{Caller: services, Relays: func() []model.InstanceID { return ids }, Self: id}
+		calls.services[id] = NewService(s)
+		fleet := &PeerFleet{Caller: calls, Relays: func() []model.InstanceID { return ids }, Self: id}
 		editors = append(editors, &Editor{State: s, Store: m, Fleet: fleet, IsRelay: yes, Now: time.Now, Report: func(Event) {}})
 	}
 	return editors
@@ -235,6 +241,30 @@
 	}
 }
 
+// Guards against relays that get the whole text for each small edit, and
+// against one that missed an edit and gets only a delta it cannot use.
+func TestOfferSendsDeltas(t *testing.T) {
+	m := newMemory()
+	editors := relays(3, m)
+	text := largeText(1000)
+	edit(t, editors[0], "a", 0, text)
+	calls := editors[0].Fleet.(*PeerFleet).Caller.(*direct)
+	for i, missed := range []bool{false, true} {
+		if missed {
+			editors[2].State.inForce = Document{}
+		}
+		calls.sent.Store(0)
+		text += "# x\n"
+		r := edit(t, editors[0], fmt.Sprint("b", i), uint64(i+1), text)
+		if n := calls.sent.Load(); r.Outcome != Accepted || (n > 3000) != missed {
+			t.Errorf("missed %v: %s with %d bytes sent", missed, r.Outcome, n)
+		}
+		if editors[2].State.Head().Revision != r.Head.Revision {
+			t.Errorf("missed %v: revision %d at a relay", missed, editors[2].State.Head().Revision)
+		}
+	}
+}
+
 // Guards against a promise that cannot be kept: without enough relays an edit
 // is refused before it is written, or its outcome is unknown afterwards.
 func TestEditWithoutRelays(t *testing.T) {
--- a/internal/configsync/topic.go
+++ b/internal/configsync/topic.go
@@ -144,36 +144,51 @@
 
 // Merge implements membership.Topic.
 func (s *State) Merge(message []byte) (changed bool, err error) {
+	s.mu.Lock()
+	s.heard = true
+	s.mu.Unlock()
+	v, last, err := s.merge(message)
+	if errors.Is(err, rules.ErrDeltaMismatch) {
+		s.requestText(last)
+	}
+	return v == Taken, errors.Trace(err)
+}
+
+// merge puts the document of a message in force. It also returns the revision
+// that the message leads to.
+func (s *State) merge(message []byte) (v Verdict, revision uint64, err error) {
 	if len(message) > membership.MaxNewsBytes {
-		return false, errors.Annotatef(ErrMalformed, "news of %d bytes", len(message))
+		return Kept, 0, errors.Annotatef(ErrMalformed, "news of %d bytes", len(message))
 	}
 	var n news
 	if err := json.Unmarshal(message, &n); err != nil {
-		return false, errors.Annotate(ErrMalformed, err.Error())
+		return Kept, 0, errors.Annotate(ErrMalformed, err.Error())
 	}
-	s.mu.Lock()
-	s.heard = true
-	doc := s.inForce
-	s.mu.Unlock()
+	var doc Document
 	if n.Doc != nil {
 		doc = *n.Doc
 		doc.Hash = doc.hash()
-	} else if doc, err = n.apply(doc); err != nil {
-		s.requestText(n)
-		return false, errors.Trace(err)
+	} else if doc, err = n.apply(s.Document()); err != nil {
+		return Kept, n.last(), errors.Trace(err)
 	}
-	v, err := s.Take(doc)
-	return v == Taken, errors.Trace(err)
+	v, err = s.Take(doc)
+	return v, doc.Revision, errors.Trace(err)
+}
+
+// last returns the revision that the steps lead to, or 0.
+func (n news) last() uint64 {
+	if len(n.Steps) == 0 {
+		return 0
+	}
+	return n.Steps[len(n.Steps)-1].Rev
 }
 
 // requestText makes the next digest ask for the whole text, unless the news is
 // merely late.
-func (s *State) requestText(n news) {
+func (s *State) requestText(revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(n.Steps) > 0 && n.Steps[len(n.Steps)-1].Rev > s.inForce.Revision {
-		s.wantText = true
-	}
+	s.wantText = s.wantText || revision > s.inForce.Revision
 }
 
 // apply returns the document that the steps lead to. Steps that the document
@@ -182,7 +197,7 @@
 	if len(n.Steps) == 0 || len(n.Steps) > maxSteps || len(n.Hash) != len(Hash{}) {
 		return Document{}, errors.Annotate(ErrMalformed, "steps")
 	}
-	if n.Steps[len(n.Steps)-1].Rev <= doc.Revision {
+	if n.last() <= doc.Revision {
 		return doc, nil
 	}
 	for _, st := range n.Steps {
--- a/internal/configsync/world_test.go
+++ b/internal/configsync/world_test.go
@@ -204,7 +204,7 @@
 
 func (f simFleet) Heads(context.Context) ([]Answer, int) { return f.each(func(*State) {}) }
 
-func (f simFleet) Offer(_ context.Context, d Document) ([]Answer, int) {
+func (f simFleet) Offer(_ context.Context, _, d Document) ([]Answer, int) {
 	return f.each(func(s *State) { s.Take(d) })
 }
 
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -53,7 +53,7 @@
 		}
 	}
 	if len(addresses) == 0 {
-		return nil, errors.NotValidf("empty list of control addresses")
+		return nil, errors.New("no control address is given")
 	}
 	transport := &http.Transport{
 		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
