--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -27,6 +27,10 @@
 	revision store.Revision
 	calls    int
 	down     bool
+	// before runs once, before the next swap of the rules.
+	before func()
+	// lost is how many responses to swaps of the rules get lost.
+	lost int
 }
 
 func (m *memory) begin() error {
@@ -51,6 +55,10 @@
 }
 
 func (m *memory) CompareAndSwap(_ context.Context, key string, expected store.Revision, value []byte, _ store.LeaseID) (store.SwapResult, error) {
+	if before := m.before; before != nil && key == Key {
+		m.before = nil
+		before()
+	}
 	defer m.mu.Unlock()
 	if err := m.begin(); err != nil {
 		return store.SwapResult{}, err
@@ -63,6 +71,10 @@
 	if value != nil {
 		m.values[key] = store.KeyValue{Key: key, Value: value, Revision: m.revision}
 	}
+	if key == Key && m.lost > 0 {
+		m.lost--
+		return store.SwapResult{}, store.ErrUnavailable
+	}
 	return store.SwapResult{Swapped: true, Current: m.values[key]}, nil
 }
 
@@ -216,6 +228,33 @@
 	}
 }
 
+// Guards against an edit that is written twice or reported as lost because the
+// store's response did not arrive.
+func TestLostResponseIsReadBack(t *testing.T) {
+	m := newMemory()
+	e := relays(1, m)[0]
+	edit(t, e, "a", 0, baseText)
+	m.lost = 1
+	r := edit(t, e, "b", 1, baseText+lineOf("b"))
+	if r.Outcome != Accepted || r.Head.Revision != 2 || m.stored().Hash != r.Head.Hash {
+		t.Errorf("got %+v; the store has revision %d", r, m.stored().Revision)
+	}
+}
+
+// Guards against an edit that overwrites one which was saved after it had
+// looked at the store.
+func TestEditSavedMeanwhileWins(t *testing.T) {
+	m := newMemory()
+	e := relays(1, m)[0]
+	edit(t, e, "a", 0, baseText)
+	other := m.stored().edit(Request{Text: baseText + lineOf("b"), Author: "B", EditID: "b"}, time.Now(), 0)
+	m.before = func() { m.set(t, other) }
+	r := edit(t, e, "c", 1, baseText+lineOf("c"))
+	if r.Outcome != Conflict || r.Head.Author != "B" || len(r.Changes) != 1 || m.stored().Hash != other.Hash {
+		t.Errorf("got %+v; the store has %s", r, m.stored().EditID)
+	}
+}
+
 // Guards against an edit on top of a store that was restored to an older copy
 // through an instance that has not seen the newest document. Without the
 // question to the relays a fork arises, which the relays then have to resolve.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -15,6 +15,7 @@
 	"jujubestile.example/jujubestile/internal/configsync"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
+	"jujubestile.example/jujubestile/internal/store"
 )
 
 const text = "region lagos lagos-a # N\nservice entries priority 1 # M\ncapacity lagos entries 16 # T\ncallers 10.0.0.0/8 lagos # N\n"
@@ -122,6 +123,38 @@
 	}
 }
 
+// getter is a store with one key.
+type getter struct {
+	store.Store
+	key, value string
+}
+
+func (g getter) Get(_ context.Context, key string) (store.KeyValue, error) {
+	if g.key == "" {
+		return store.KeyValue{}, store.ErrUnavailable
+	}
+	if key != g.key {
+		return store.KeyValue{}, store.ErrNotFound
+	}
+	return store.KeyValue{Key: key, Value: []byte(g.value)}, nil
+}
+
+// Guards against a revision that is reported missing while the store is down,
+// and the other way round.
+func TestArchive(t *testing.T) {
+	state := configsync.NewState(time.Now)
+	present := getter{key: "rules/history/00000000000000000002", value: `{"revision":2,"edit_id":"e","author":"A","text":"x"}`}
+	if d, err := NewArchive(present, state).Revision(t.Context(), 2); err != nil || d.Text != "x" {
+		t.Errorf("present: %+v, %v", d, err)
+	}
+	if _, err := NewArchive(present, state).Revision(t.Context(), 3); !errors.Is(err, errors.NotFound) {
+		t.Errorf("absent: %v", err)
+	}
+	if _, err := NewArchive(getter{}, state).Revision(t.Context(), 2); err == nil || errors.Is(err, errors.NotFound) {
+		t.Errorf("store down: %v", err)
+	}
+}
+
 // Guards against an operator who is told too little about an edit that was
 // not accepted.
 func TestEditProblems(t *testing.T) {
