configsync: keep parsing and comparing out of the lock, bound kept deltas

Rules is now an atomic load, and documents are parsed and compared without the lock. Kept deltas of large edits could take 16 times the size of the text (16 MB of the 64 MB that an instance may use); together they are now at most as large as the text.

--- a/internal/configsync/fleet.go
+++ b/internal/configsync/fleet.go
@@ -123,7 +123,7 @@
 // Offer implements Fleet.
 func (f *PeerFleet) Offer(ctx context.Context, base, d Document) ([]Answer, int) {
 	whole := encodeNews(d, nil)
-	delta := encodeNews(d, appendStep(nil, base, d))
+	delta := encodeNews(d, appendStep(nil, newStep(base, d), len(d.Text)))
 	return f.each(func(to model.InstanceID) (Head, error) {
 		h, err := f.head(ctx, to, "Offer", OfferArgs{News: delta})
 		if err != nil || h.relate(d.Head) != older || len(delta) == len(whole) {
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -30,10 +31,11 @@
 // concurrently.
 type State struct {
 	now func() time.Time
+	// set is read for every request, so that it needs no lock.
+	set atomic.Pointer[rules.Set]
 
 	mu      sync.Mutex
 	inForce Document
-	set     *rules.Set
 	// steps lead to the document in force, the oldest first.
 	steps []step
 	// heard means that a neighbour has sent a digest or news.
@@ -73,11 +75,7 @@
 }
 
 // Rules returns the rules in force, or nil.
-func (s *State) Rules() *rules.Set {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.set
-}
+func (s *State) Rules() *rules.Set { return s.set.Load() }
 
 // Informed reports whether a relay has compared its document with the store.
 // Before that it may have an old document from a neighbour, and it does not
@@ -107,8 +105,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ch := make(chan *rules.Set, 1)
-	if s.set != nil {
-		ch <- s.set
+	if set := s.set.Load(); set != nil {
+		ch <- set
 	}
 	id := s.nextSub
 	s.nextSub++
@@ -123,42 +121,58 @@
 // Take puts a document in force if it is newer than the present one and
 // descends from it. An invalid document is an error.
 func (s *State) Take(d Document) (Verdict, error) {
-	s.mu.Lock()
-	head := s.inForce.Head
-	s.mu.Unlock()
-	// Most documents arrive several times; only new ones are parsed, without
-	// the lock.
-	if r := d.relate(head); r == same || r == older {
-		return Kept, nil
-	}
-	set, err := d.valid()
-	if err != nil {
-		return Kept, errors.Trace(err)
+	var set *rules.Set
+	for {
+		from, v := s.judge(d)
+		if v != Taken {
+			return v, nil
+		}
+		// Parsing and comparing large texts takes milliseconds, during which
+		// the lock stays free.
+		if set == nil {
+			var err error
+			if set, err = d.valid(); err != nil {
+				return Kept, errors.Trace(err)
+			}
+		}
+		if s.swap(from, d, set, newStep(from, d)) {
+			return Taken, nil
+		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.take(d, set), nil
 }
 
-func (s *State) take(d Document, set *rules.Set) Verdict {
+// judge returns the document in force and what to do with another one.
+func (s *State) judge(d Document) (Document, Verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch d.relate(s.inForce.Head) {
 	case same, older:
-		return Kept
+		return s.inForce, Kept
 	case forked:
 		s.noteFork(d.Revision, d.Hash)
 		if d.Revision == s.inForce.Revision || !s.graceOver() {
-			return Refused
+			return s.inForce, Refused
 		}
 	}
-	s.steps = appendStep(s.steps, s.inForce, d)
+	return s.inForce, Taken
+}
+
+// swap puts d in force unless another document than from is in force by now.
+func (s *State) swap(from, d Document, set *rules.Set, next *step) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inForce.Hash != from.Hash {
+		return false
+	}
+	s.steps = appendStep(s.steps, next, len(d.Text))
 	s.inForce = d
-	s.set = set
+	s.set.Store(set)
 	s.wantText = false
 	s.fork = fork{}
 	for _, ch := range s.subs {
 		replace(ch, set)
 	}
-	return Taken
+	return true
 }
 
 // replace puts v into a channel of capacity 1 in place of an older value. All
--- a/internal/configsync/topic.go
+++ b/internal/configsync/topic.go
@@ -30,8 +30,8 @@
 	// From is the hash of the document that the step applies to. It is not
 	// sent: the digest of the neighbour names the first one.
 	From Hash `json:"-"`
-	// To is the hash of the result.
-	To     Hash      `json:"-"`
+	// size is the approximate size of the edits.
+	size   int
 	Rev    uint64    `json:"r"`
 	EditID string    `json:"e"`
 	Author string    `json:"a"`
@@ -56,9 +56,9 @@
 	Doc   *Document `json:"doc,omitempty"`
 }
 
-// appendStep adds the step to a new document and drops the oldest. A document
-// that is nearly as large as its delta starts a new list.
-func appendStep(steps []step, from, to Document) []step {
+// newStep returns the step to a new document, or nil if the whole text is as
+// small.
+func newStep(from, to Document) *step {
 	if from.Revision == 0 {
 		return nil
 	}
@@ -66,16 +66,35 @@
 	if delta.Bytes() >= len(to.Text) && len(to.Text) > 0 {
 		return nil
 	}
-	next := step{From: from.Hash, To: to.Hash, Rev: to.Revision, EditID: to.EditID, Author: to.Author, Time: to.Time}
+	next := &step{
+		From: from.Hash, size: delta.Bytes(),
+		Rev: to.Revision, EditID: to.EditID, Author: to.Author, Time: to.Time,
+	}
 	if !slices.Equal(to.Lineage, from.descend()) {
 		next.Lineage = to.Lineage
 	}
 	for _, e := range delta.Edits {
 		next.Edits = append(next.Edits, lineEdit(e))
 	}
-	// The list is copied, as News reads it without the lock.
-	steps = append(slices.Clone(steps), next)
-	return steps[max(0, len(steps)-maxSteps):]
+	return next
+}
+
+// appendStep adds the next step and drops the oldest ones that are too many or
+// together larger than the text, which also bounds memory. Without a next step
+// the list starts anew. The list is copied, as News reads it without the lock.
+func appendStep(steps []step, next *step, textBytes int) []step {
+	if next == nil {
+		return nil
+	}
+	steps = append(slices.Clone(steps), *next)
+	steps = steps[max(0, len(steps)-maxSteps):]
+	size := 0
+	for i := len(steps) - 1; i >= 0; i-- {
+		if size += steps[i].size; size > textBytes {
+			return slices.Clone(steps[i+1:])
+		}
+	}
+	return steps
 }
 
 // Name implements membership.Topic.
--- a/internal/configsync/topic_test.go
+++ b/internal/configsync/topic_test.go
@@ -203,3 +203,24 @@
 		}
 	}
 }
+
+// Guards against kept deltas of large edits that together take 16 times the
+// memory of the rules.
+func TestKeptDeltasAreBounded(t *testing.T) {
+	doc := Document{}
+	s := NewState(time.Now)
+	for i := range maxSteps {
+		text := largeText(300) + lineOf(fmt.Sprint("y", i)) + strings.Repeat(fmt.Sprintf("# %d %s\n", i, strings.Repeat("x", 900)), 10)
+		doc = doc.edit(Request{Text: text, Author: "A", EditID: fmt.Sprint("e", i)}, time.Unix(1e9, 0), 0)
+		if v, err := s.Take(doc); v != Taken || err != nil {
+			t.Fatal(v, err)
+		}
+	}
+	size := 0
+	for _, st := range s.steps {
+		size += st.size
+	}
+	if size > len(doc.Text) || len(s.steps) == 0 {
+		t.Errorf("%d deltas take %d bytes, the text %d", len(s.steps), size, len(doc.Text))
+	}
+}
--- a/internal/control/rules.go
+++ b/internal/control/rules.go
@@ -77,6 +77,8 @@
 	return n, true
 }
 
+var _ Editor = (*configsync.Editor)(nil)
+
 // statusOf maps the outcomes of edits other than Accepted to HTTP.
 var statusOf = map[configsync.Outcome]int{
 	configsync.Conflict:    http.StatusConflict,
