--- a/internal/configsync/document.go
+++ b/internal/configsync/document.go
@@ -23,7 +23,7 @@
 //
 // What can still lose an accepted edit: the store is restored and, before a
 // relay has written the document back, so many relays that had it in force
-// restart or lose contact that the rest do not find it.
+// restart, lose contact or stop being relays that the rest do not find it.
 package configsync
 
 import (
