--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,10 @@
 	revision store.Revision
 	calls    int
 	down     bool
+	// before runs once, before the next swap of the rules.
+	before func()
+	// lost is how many responses to swaps of the rules get lost.
+	lost int
 }
 
 func (m *memory) begin() error {
@@ -50,6 +55,10 @@
 }
 
 func (m *memory) CompareAndSwap(_ context.Context, key string, expected store.Revision, value []byte, _ store.LeaseID) (store.SwapResult, error) {
+	if before := m.before; before != nil && key == Key {
+		m.before = nil
+		before()
+	}
 	defer m.mu.Unlock()
 	if err := m.begin(); err != nil {
 		return store.SwapResult{}, err
@@ -62,6 +71,10 @@
 	if value != nil {
 		m.values[key] = store.KeyValue{Key: key, Value: value, Revision: m.revision}
 	}
+	if key == Key && m.lost > 0 {
+		m.lost--
+		return store.SwapResult{}, store.ErrUnavailable
+	}
 	return store.SwapResult{Swapped: true, Current: m.values[key]}, nil
 }
 
@@ -115,35 +128,40 @@
 	return d
 }
 
-// direct calls the services of other instances as net/rpc would, through gob.
-type direct map[model.InstanceID]*Service
+// direct calls the services of other instances as net/rpc would, through gob,
+// and counts the bytes of arguments.
+type direct struct {
+	services map[model.InstanceID]*Service
+	sent     atomic.Int64
+}
 
-func (c direct) Call(_ context.Context, to model.InstanceID, method string, args, reply any) error {
+func (c *direct) Call(_ context.Context, to model.InstanceID, method string, args, reply any) error {
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(args); err != nil {
 		return err
 	}
-	switch decoder := gob.NewDecoder(&b); method {
+	c.sent.Add(int64(b.Len()))
+	decoder := gob.NewDecoder(&b)
+	switch method {
 	case "Rules.Fetch":
 		var a FetchArgs
-		return errors.Annotatef(cmpErr(decoder.Decode(&a), func() error { return c[to].Fetch(a, reply.(*Reply)) }), "%s", to)
+		if err := decoder.Decode(&a); err != nil {
+			return err
+		}
+		return c.services[to].Fetch(a, reply.(*Reply))
 	case "Rules.Offer":
 		var a OfferArgs
-		return errors.Annotatef(cmpErr(decoder.Decode(&a), func() error { return c[to].Offer(a, reply.(*Reply)) }), "%s", to)
+		if err := decoder.Decode(&a); err != nil {
+			return err
+		}
+		return c.services[to].Offer(a, reply.(*Reply))
 	}
 	return errors.NotFoundf("method %s", method)
 }
 
-func cmpErr(err error, next func() error) error {
-	if err != nil {
-		return err
-	}
-	return next()
-}
-
 // relays returns the editors of n relays that share a store.
 func relays(n int, m *memory) []*Editor {
-	services := direct{}
+	calls := &direct{services: map[model.InstanceID]*Service{}}
 	var ids []model.InstanceID
 	var editors []*Editor
 	for i := range n {
@@ -151,8 +169,8 @@
 		s.setInformed(true)
 		id := model.InstanceID(fmt.Sprint("r", i))
 		ids = append(ids, id)
-		services[id] = NewService(s)
-		fleet := &PeerFleet{Caller: services, Relays: func() []model.InstanceID { return ids }, Self: id}
+		calls.services[id] = NewService(s)
+		fleet := &PeerFleet{Caller: calls, Relays: func() []model.InstanceID { return ids }, Self: id}
 		editors = append(editors, &Editor{State: s, Store: m, Fleet: fleet, IsRelay: yes, Now: time.Now, Report: func(Event) {}})
 	}
 	return editors
@@ -210,6 +228,33 @@
 	}
 }
 
+// Guards against an edit that is written twice or reported as lost because the
+// store's response did not arrive.
+func TestLostResponseIsReadBack(t *testing.T) {
+	m := newMemory()
+	e := relays(1, m)[0]
+	edit(t, e, "a", 0, baseText)
+	m.lost = 1
+	r := edit(t, e, "b", 1, baseText+lineOf("b"))
+	if r.Outcome != Accepted || r.Head.Revision != 2 || m.stored().Hash != r.Head.Hash {
+		t.Errorf("got %+v; the store has revision %d", r, m.stored().Revision)
+	}
+}
+
+// Guards against an edit that overwrites one which was saved after it had
+// looked at the store.
+func TestEditSavedMeanwhileWins(t *testing.T) {
+	m := newMemory()
+	e := relays(1, m)[0]
+	edit(t, e, "a", 0, baseText)
+	other := m.stored().edit(Request{Text: baseText + lineOf("b"), Author: "B", EditID: "b"}, time.Now(), 0)
+	m.before = func() { m.set(t, other) }
+	r := edit(t, e, "c", 1, baseText+lineOf("c"))
+	if r.Outcome != Conflict || r.Head.Author != "B" || len(r.Changes) != 1 || m.stored().Hash != other.Hash {
+		t.Errorf("got %+v; the store has %s", r, m.stored().EditID)
+	}
+}
+
 // Guards against an edit on top of a store that was restored to an older copy
 // through an instance that has not seen the newest document. Without the
 // question to the relays a fork arises, which the relays then have to resolve.
@@ -235,6 +280,30 @@
 	}
 }
 
+// Guards against relays that get the whole text for each small edit, and
+// against one that missed an edit and gets only a delta it cannot use.
+func TestOfferSendsDeltas(t *testing.T) {
+	m := newMemory()
+	editors := relays(3, m)
+	text := largeText(1000)
+	edit(t, editors[0], "a", 0, text)
+	calls := editors[0].Fleet.(*PeerFleet).Caller.(*direct)
+	for i, missed := range []bool{false, true} {
+		if missed {
+			editors[2].State.inForce = Document{}
+		}
+		calls.sent.Store(0)
+		text += "# x\n"
+		r := edit(t, editors[0], fmt.Sprint("b", i), uint64(i+1), text)
+		if n := calls.sent.Load(); r.Outcome != Accepted || (n > 3000) != missed {
+			t.Errorf("missed %v: %s with %d bytes sent", missed, r.Outcome, n)
+		}
+		if editors[2].State.Head().Revision != r.Head.Revision {
+			t.Errorf("missed %v: revision %d at a relay", missed, editors[2].State.Head().Revision)
+		}
+	}
+}
+
 // Guards against a promise that cannot be kept: without enough relays an edit
 // is refused before it is written, or its outcome is unknown afterwards.
 func TestEditWithoutRelays(t *testing.T) {
--- a/internal/configsync/topic.go
+++ b/internal/configsync/topic.go
@@ -30,8 +30,8 @@
 	// From is the hash of the document that the step applies to. It is not
 	// sent: the digest of the neighbour names the first one.
 	From Hash `json:"-"`
-	// To is the hash of the result.
-	To     Hash      `json:"-"`
+	// size is the approximate size of the edits.
+	size   int
 	Rev    uint64    `json:"r"`
 	EditID string    `json:"e"`
 	Author string    `json:"a"`
@@ -56,9 +56,9 @@
 	Doc   *Document `json:"doc,omitempty"`
 }
 
-// appendStep adds the step to a new document and drops the oldest. A document
-// that is nearly as large as its delta starts a new list.
-func appendStep(steps []step, from, to Document) []step {
+// newStep returns the step to a new document, or nil if the whole text is as
+// small.
+func newStep(from, to Document) *step {
 	if from.Revision == 0 {
 		return nil
 	}
@@ -66,16 +66,35 @@
 	if delta.Bytes() >= len(to.Text) && len(to.Text) > 0 {
 		return nil
 	}
-	next := step{From: from.Hash, To: to.Hash, Rev: to.Revision, EditID: to.EditID, Author: to.Author, Time: to.Time}
+	next := &step{
+		From: from.Hash, size: delta.Bytes(),
+		Rev: to.Revision, EditID: to.EditID, Author: to.Author, Time: to.Time,
+	}
 	if !slices.Equal(to.Lineage, from.descend()) {
 		next.Lineage = to.Lineage
 	}
 	for _, e := range delta.Edits {
 		next.Edits = append(next.Edits, lineEdit(e))
 	}
-	// The list is copied, as News reads it without the lock.
-	steps = append(slices.Clone(steps), next)
-	return steps[max(0, len(steps)-maxSteps):]
+	return next
+}
+
+// appendStep adds the next step and drops the oldest ones that are too many or
+// together larger than the text, which also bounds memory. Without a next step
+// the list starts anew. The list is copied, as News reads it without the lock.
+func appendStep(steps []step, next *step, textBytes int) []step {
+	if next == nil {
+		return nil
+	}
+	steps = append(slices.Clone(steps), *next)
+	steps = steps[max(0, len(steps)-maxSteps):]
+	size := 0
+	for i := len(steps) - 1; i >= 0; i-- {
+		if size += steps[i].size; size > textBytes {
+			return slices.Clone(steps[i+1:])
+		}
+	}
+	return steps
 }
 
 // Name implements membership.Topic.
@@ -144,36 +163,51 @@
 
 // Merge implements membership.Topic.
 func (s *State) Merge(message []byte) (changed bool, err error) {
+	s.mu.Lock()
+	s.heard = true
+	s.mu.Unlock()
+	v, last, err := s.merge(message)
+	if errors.Is(err, rules.ErrDeltaMismatch) {
+		s.requestText(last)
+	}
+	return v == Taken, errors.Trace(err)
+}
+
+// merge puts the document of a message in force. It also returns the revision
+// that the message leads to.
+func (s *State) merge(message []byte) (v Verdict, revision uint64, err error) {
 	if len(message) > membership.MaxNewsBytes {
-		return false, errors.Annotatef(ErrMalformed, "news of %d bytes", len(message))
+		return Kept, 0, errors.Annotatef(ErrMalformed, "news of %d bytes", len(message))
 	}
 	var n news
 	if err := json.Unmarshal(message, &n); err != nil {
-		return false, errors.Annotate(ErrMalformed, err.Error())
+		return Kept, 0, errors.Annotate(ErrMalformed, err.Error())
 	}
-	s.mu.Lock()
-	s.heard = true
-	doc := s.inForce
-	s.mu.Unlock()
+	var doc Document
 	if n.Doc != nil {
 		doc = *n.Doc
 		doc.Hash = doc.hash()
-	} else if doc, err = n.apply(doc); err != nil {
-		s.requestText(n)
-		return false, errors.Trace(err)
+	} else if doc, err = n.apply(s.Document()); err != nil {
+		return Kept, n.last(), errors.Trace(err)
 	}
-	v, err := s.Take(doc)
-	return v == Taken, errors.Trace(err)
+	v, err = s.Take(doc)
+	return v, doc.Revision, errors.Trace(err)
+}
+
+// last returns the revision that the steps lead to, or 0.
+func (n news) last() uint64 {
+	if len(n.Steps) == 0 {
+		return 0
+	}
+	return n.Steps[len(n.Steps)-1].Rev
 }
 
 // requestText makes the next digest ask for the whole text, unless the news is
 // merely late.
-func (s *State) requestText(n news) {
+func (s *State) requestText(revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(n.Steps) > 0 && n.Steps[len(n.Steps)-1].Rev > s.inForce.Revision {
-		s.wantText = true
-	}
+	s.wantText = s.wantText || revision > s.inForce.Revision
 }
 
 // apply returns the document that the steps lead to. Steps that the document
@@ -182,7 +216,7 @@
 	if len(n.Steps) == 0 || len(n.Steps) > maxSteps || len(n.Hash) != len(Hash{}) {
 		return Document{}, errors.Annotate(ErrMalformed, "steps")
 	}
-	if n.Steps[len(n.Steps)-1].Rev <= doc.Revision {
+	if n.last() <= doc.Revision {
 		return doc, nil
 	}
 	for _, st := range n.Steps {
