Do not count paused endpoints as unhealthy

Cause: endpoints that refused with Retry-After counted as unhealthy. In an overload that could make an instance distrust its measurements and send work to ejected endpoints. If all endpoints of a subset ask for a pause, one of them is used: the request holds a slot.

--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -169,6 +169,20 @@
 	})
 }
 
+// Guards against work for an ejected endpoint because the others are loaded: a
+// refusal with Retry-After is no sign of a fault. Work is not refused either.
+func TestPausedAreNotDistrusted(t *testing.T) {
+	Convey("when the others ask for a pause, an ejected endpoint stays out", t, func() {
+		b := newBalancer(4)
+		fails(b, ejectAfter)
+		for _, e := range listOf(4)[1:] {
+			b.Observe(start, dispatch.Observation{Endpoint: e, Err: dispatch.ErrRefused, RetryAfter: time.Second, Utilization: -1})
+		}
+		n := play(b, start, 100, answer)
+		So(n["e0"]+n["none"], ShouldEqual, 0)
+	})
+}
+
 // Guards against endpoints that attract work without being fast: fast
 // failures, fast refusals, and idle reports from slow endpoints.
 func TestMisleadingEndpoints(t *testing.T) {
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -79,7 +79,12 @@
 
 // usable reports whether the endpoint takes ordinary work.
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.ejected && !e.alone && !now.Before(e.pausedUntil)
+	return !e.ejected && !e.alone && !e.paused(now)
+}
+
+// paused reports whether the endpoint refused work and asked for a pause.
+func (e *endpoint) paused(now time.Time) bool {
+	return now.Before(e.pausedUntil)
 }
 
 // justFreed reports whether the endpoint's last answer is so new that the slot
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -80,20 +80,24 @@
 	return nil
 }
 
+// pickFrom prefers endpoints that did not ask for a pause. If all did, it takes
+// one of them: the slot that the request holds says that there is capacity.
 func (p *pool) pickFrom(from []*endpoint, now time.Time, rnd *rand.Rand, exclude []model.EndpointID) *endpoint {
 	if len(from) == 0 {
 		return nil
 	}
-	all := distrust(from, now)
-	allowed := func(e *endpoint) bool {
-		return (all || e.usable(now)) && !e.alone && !slices.Contains(exclude, e.ID)
+	all := distrust(from)
+	possible := func(e *endpoint) bool {
+		return (all || !e.ejected) && !e.alone && !slices.Contains(exclude, e.ID)
 	}
-	a := draw(from, now, rnd, allowed)
-	b := draw(from, now, rnd, allowed)
-	if a == nil && b == nil {
-		return lowest(from, now, allowed)
+	allowed := func(e *endpoint) bool { return possible(e) && !e.paused(now) }
+	e := better(now, draw(from, now, rnd, allowed), draw(from, now, rnd, allowed))
+	if e == nil {
+		e = lowest(from, now, allowed)
+	}
+	if e == nil {
+		return lowest(from, now, possible)
 	}
-	e := better(now, a, b)
 	if f := p.freed; f != nil && allowed(f) && f.justFreed(now) && f.cost(now) < freedMargin*e.cost(now) {
 		e = f
 	}
@@ -103,11 +107,12 @@
 	return e
 }
 
-// distrust reports whether more than half of the endpoints look unhealthy.
-func distrust(from []*endpoint, now time.Time) bool {
+// distrust reports whether more than half of the endpoints are ejected. Paused
+// ones do not count: a refusal shows load, not a fault.
+func distrust(from []*endpoint) bool {
 	out := 0
 	for _, e := range from {
-		if e.ejected || now.Before(e.pausedUntil) {
+		if e.ejected {
 			out++
 		}
 	}
