Set an endpoint that did not answer aside for a second

Cause: ejection takes three failures in a row, and each may take a slot for 400 ms or more. As with ejection, it is ignored when more than half of the subset would be set aside.

--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -27,6 +27,9 @@
 	maxUtilization = 0.9
 	// slowFactor is how many times the mean latency makes an endpoint slow.
 	slowFactor = 1.5
+	// silencePause is how long an endpoint that did not answer is set aside. It
+	// takes 3 failures to eject it, and each may cost a slot for a long time.
+	silencePause = time.Second
 	// defaultLatency is the estimate before the first measurement.
 	defaultLatency = float64(20 * time.Millisecond)
 )
@@ -79,11 +82,12 @@
 
 // usable reports whether the endpoint takes ordinary work.
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.ejected && !e.alone && !e.paused(now)
+	return !e.ejected && !e.alone && !e.aside(now)
 }
 
-// paused reports whether the endpoint refused work and asked for a pause.
-func (e *endpoint) paused(now time.Time) bool {
+// aside reports whether the endpoint refused work and asked for a pause, or
+// just failed to answer.
+func (e *endpoint) aside(now time.Time) bool {
 	return now.Before(e.pausedUntil)
 }
 
@@ -154,6 +158,9 @@
 func (e *endpoint) observeFailure(now time.Time, o dispatch.Observation, failureLatency time.Duration) {
 	e.inARow++
 	e.failures += failureWeight * (1 - e.failures)
+	if errors.Is(o.Err, dispatch.ErrInterrupted) {
+		e.pausedUntil = now.Add(silencePause)
+	}
 	e.sample(now, float64(max(o.Latency, failureLatency)))
 	if e.ejected || e.inARow >= ejectAfter || errors.Is(o.Err, dispatch.ErrNotSent) {
 		e.eject(now)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -80,17 +80,18 @@
 	return nil
 }
 
-// pickFrom prefers endpoints that did not ask for a pause. If all did, it takes
-// one of them: the slot that the request holds says that there is capacity.
+// pickFrom prefers endpoints that are not set aside. When more than half are,
+// it uses all that are not ejected, and all when more than half are ejected.
 func (p *pool) pickFrom(from []*endpoint, now time.Time, rnd *rand.Rand, exclude []model.EndpointID) *endpoint {
 	if len(from) == 0 {
 		return nil
 	}
-	all := distrust(from)
+	all := most(from, func(e *endpoint) bool { return e.ejected })
 	possible := func(e *endpoint) bool {
 		return (all || !e.ejected) && !e.alone && !slices.Contains(exclude, e.ID)
 	}
-	allowed := func(e *endpoint) bool { return possible(e) && !e.paused(now) }
+	anyway := most(from, func(e *endpoint) bool { return e.ejected || e.aside(now) })
+	allowed := func(e *endpoint) bool { return possible(e) && (anyway || !e.aside(now)) }
 	e := better(now, draw(from, now, rnd, allowed), draw(from, now, rnd, allowed))
 	if e == nil {
 		e = lowest(from, now, allowed)
@@ -107,16 +108,15 @@
 	return e
 }
 
-// distrust reports whether more than half of the endpoints are ejected. Paused
-// ones do not count: a refusal shows load, not a fault.
-func distrust(from []*endpoint) bool {
-	out := 0
+// most reports whether more than half of the endpoints are as asked.
+func most(from []*endpoint, is func(*endpoint) bool) bool {
+	n := 0
 	for _, e := range from {
-		if e.ejected {
-			out++
+		if is(e) {
+			n++
 		}
 	}
-	return 2*out > len(from)
+	return 2*n > len(from)
 }
 
 // draw returns a random allowed endpoint, or nil after drawLimit draws. A cold
