--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -158,15 +158,15 @@
 	}
 }
 
-// DueProbes returns the ejected endpoints to probe now and counts the probes
-// as started.
+// DueProbes returns the endpoints to probe now, ejected ones and those that did
+// not answer their last request, and counts the probes as started.
 func (b *Balancer) DueProbes(now time.Time) []model.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var due []model.Endpoint
 	for _, l := range b.listed {
 		e := b.endpoints[l.ID]
-		if e == nil || e.gone || !e.probeDue(now) {
+		if e == nil || e.gone || e.probing || !e.suspect && !e.probeDue(now) {
 			continue
 		}
 		e.probing = true
@@ -180,14 +180,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.endpoints[id]
-	if e == nil || !e.ejected {
+	if e == nil || !e.probing {
 		return
 	}
-	if ok {
-		e.restore(now)
-		return
-	}
-	e.eject(now)
+	e.probed(now, ok)
 }
 
 // State describes an endpoint to operators.
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -151,6 +151,34 @@
 	})
 }
 
+// Guards against a lost endpoint that costs three requests, and against one
+// that stays out although it is well and only one connection broke.
+func TestSuspectIsProbed(t *testing.T) {
+	Convey("an endpoint that did not answer", t, func() {
+		b := newBalancer(4)
+		b.cfg.ActiveProbes = true
+		fails(b, 1)
+		So(b.DueProbes(start), ShouldHaveLength, 1)
+		Convey("is ejected by failed probes", func() {
+			b.Probed(start, "e0", false)
+			So(b.endpoints["e0"].ejected, ShouldBeFalse)
+			So(b.DueProbes(start), ShouldHaveLength, 1)
+			b.Probed(start, "e0", false)
+			So(b.endpoints["e0"].ejected, ShouldBeTrue)
+		})
+		Convey("returns after a good probe", func() {
+			So(b.endpoints["e0"].aside(start), ShouldBeTrue)
+			b.Probed(start, "e0", true)
+			So(b.endpoints["e0"].aside(start), ShouldBeFalse)
+			So(b.DueProbes(start), ShouldHaveLength, 0)
+		})
+		Convey("is not affected by a probe that nobody started", func() {
+			b.Probed(start, "e1", false)
+			So(b.endpoints["e1"].inARow, ShouldEqual, 0)
+		})
+	})
+}
+
 // Guards against concentrating all work on the few endpoints that look healthy
 // when the measurement itself is at fault, and against refusing all work.
 func TestDistrust(t *testing.T) {
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -52,6 +52,7 @@
 	utilization float64
 	reportedAt  time.Time
 	pausedUntil time.Time
+	suspect     bool // did not answer the last request
 
 	inARow     int
 	ejected    bool
@@ -103,6 +104,27 @@
 	return e.ejected && !e.probing && !now.Before(e.probeAt)
 }
 
+// probed takes the result of an active probe. A failed one counts like a failed
+// request, so that a lost endpoint is ejected without losing more requests.
+func (e *endpoint) probed(now time.Time, ok bool) {
+	e.probing = false
+	switch {
+	case ok && e.ejected:
+		e.restore(now)
+	case ok:
+		e.suspect = false
+		e.pausedUntil = time.Time{}
+	case e.ejected:
+		e.eject(now)
+	default:
+		e.inARow++
+		e.pausedUntil = now.Add(silencePause)
+		if e.inARow >= ejectAfter {
+			e.eject(now)
+		}
+	}
+}
+
 func (e *endpoint) observe(now time.Time, o dispatch.Observation, failureLatency time.Duration) {
 	switch {
 	case o.Censored:
@@ -122,6 +144,7 @@
 }
 
 func (e *endpoint) observeAnswer(now time.Time, o dispatch.Observation) {
+	e.suspect = false
 	e.inARow = 0
 	e.failures -= failureWeight * e.failures
 	if e.ejected {
@@ -160,6 +183,7 @@
 	e.failures += failureWeight * (1 - e.failures)
 	if errors.Is(o.Err, dispatch.ErrInterrupted) {
 		e.pausedUntil = now.Add(silencePause)
+		e.suspect = true
 	}
 	e.sample(now, float64(max(o.Latency, failureLatency)))
 	if e.ejected || e.inARow >= ejectAfter || errors.Is(o.Err, dispatch.ErrNotSent) {
@@ -183,6 +207,7 @@
 	}
 	e.ejected = true
 	e.probing = false
+	e.suspect = false
 	e.probeAt = now.Add(min(ejectBase<<min(e.ejections, 10), ejectMax))
 	e.ejections++
 }
@@ -190,6 +215,7 @@
 func (e *endpoint) restore(now time.Time) {
 	e.ejected = false
 	e.probing = false
+	e.suspect = false
 	e.ejections = 0
 	e.inARow = 0
 	e.failures = 0
