Judge distrust over all regions of a service

Cause: in a lost region more than half of the endpoints are ejected, so the instance distrusted its measurements and went on sending there. Now more than half of the service's endpoints over all regions must be ejected. The rest are endpoints that are only set aside; most of a region's are, so that is ignored.

--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -197,6 +197,28 @@
 	})
 }
 
+// Guards against work that goes on to a lost region because its endpoints, all
+// failing, look like a fault of the measurement; also after a new list.
+func TestLostRegionIsNotDistrusted(t *testing.T) {
+	Convey("a region without a healthy endpoint gets nothing while others are well", t, func() {
+		b := newBalancer(0)
+		list := listOf(9)
+		for i := range list {
+			list[i].Region = []model.Region{"r", "q", "p"}[i%3]
+		}
+		b.SetEndpoints(start, list)
+		for _, e := range list[:9] {
+			if e.Region == "r" {
+				b.Observe(start, dispatch.Observation{Endpoint: e, Err: dispatch.ErrNotSent, Utilization: -1})
+			}
+		}
+		b.SetEndpoints(start, list)
+		So(play(b, start, 20, answer)["none"], ShouldEqual, 20)
+		_, ok := b.Pick(start, "s", "q", nil)
+		So(ok, ShouldBeTrue)
+	})
+}
+
 // Guards against work for an ejected endpoint because the others are loaded: a
 // refusal with Retry-After is no sign of a fault. Work is not refused either.
 func TestPausedAreNotDistrusted(t *testing.T) {
@@ -320,7 +342,7 @@
 		for i := range c.instances {
 			b := New(Config{Instance: model.InstanceID(fmt.Sprintf("lagos-a-%d", i))})
 			b.instances = c.instances
-			for _, e := range b.newPool(poolKey{"s", "r"}, slices.Clone(all), nil).subset {
+			for _, e := range b.newPool(&group{}, slices.Clone(all), nil).subset {
 				use[index[e]]++
 			}
 		}
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -205,15 +205,22 @@
 	if e.ejected && now.Before(e.probeAt) {
 		return
 	}
-	e.ejected = true
+	e.setEjected(true)
 	e.probing = false
 	e.suspect = false
 	e.probeAt = now.Add(min(ejectBase<<min(e.ejections, 10), ejectMax))
 	e.ejections++
 }
 
+func (e *endpoint) setEjected(v bool) {
+	if e.ejected != v && e.inSubset && !e.gone {
+		e.pool.group.ejected += map[bool]int{true: 1, false: -1}[v]
+	}
+	e.ejected = v
+}
+
 func (e *endpoint) restore(now time.Time) {
-	e.ejected = false
+	e.setEjected(false)
 	e.probing = false
 	e.suspect = false
 	e.ejections = 0
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -90,8 +90,12 @@
 		k := poolKey{l.Service, l.Region}
 		members[k] = append(members[k], b.keep(now, l, old[k] == nil))
 	}
+	groups := map[model.Service]*group{}
 	for k, es := range members {
-		b.pools[k] = b.newPool(k, es, old[k])
+		if groups[k.service] == nil {
+			groups[k.service] = &group{}
+		}
+		b.pools[k] = b.newPool(groups[k.service], es, old[k])
 	}
 	for id, e := range b.endpoints {
 		if e.gone && e.outstanding == 0 {
@@ -126,8 +130,8 @@
 	return e
 }
 
-func (b *Balancer) newPool(k poolKey, members []*endpoint, old *pool) *pool {
-	p := &pool{}
+func (b *Balancer) newPool(g *group, members []*endpoint, old *pool) *pool {
+	p := &pool{group: g}
 	if old != nil {
 		p.mean = old.mean
 		p.utilization = old.utilization
@@ -137,7 +141,11 @@
 	for i, e := range members {
 		e.pool = p
 		e.inSubset = i < size
+		if e.inSubset && e.ejected {
+			g.ejected++
+		}
 	}
+	g.endpoints += size
 	p.subset = members[:size:size]
 	p.rest = members[size:]
 	return p
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -33,6 +33,19 @@
 	utilization float64
 	// freed is the endpoint that answered last, until it is picked.
 	freed *endpoint
+	group *group
+}
+
+// group is the subsets of a service in all regions. Ejections are distrusted
+// when they concern more than half of them. Counted by region, the loss of a
+// region would look like a fault of the measurement, and work would go on being
+// sent there.
+type group struct {
+	endpoints, ejected int
+}
+
+func (g *group) distrusted() bool {
+	return 2*g.ejected > g.endpoints
 }
 
 func (p *pool) meanLatency() float64 {
@@ -54,9 +67,8 @@
 	p.utilization += meanWeight * (u - p.utilization)
 }
 
-// pick returns the better of two random usable endpoints of the subset. When
-// more than half of the subset is not usable, it distrusts the measurements
-// and uses all. It returns nil if all are excluded.
+// pick returns the better of two random usable endpoints of the subset, or of
+// the rest if there is none. It returns nil if all are excluded or ejected.
 func (p *pool) pick(now time.Time, rnd *rand.Rand, exclude []model.EndpointID, probe bool) *endpoint {
 	if probe {
 		if e := p.probe(now, exclude); e != nil {
@@ -81,12 +93,12 @@
 }
 
 // pickFrom prefers endpoints that are not set aside. When more than half are,
-// it uses all that are not ejected, and all when more than half are ejected.
+// it uses all that are not ejected, and all when the group is distrusted.
 func (p *pool) pickFrom(from []*endpoint, now time.Time, rnd *rand.Rand, exclude []model.EndpointID) *endpoint {
 	if len(from) == 0 {
 		return nil
 	}
-	all := most(from, func(e *endpoint) bool { return e.ejected })
+	all := p.group.distrusted()
 	possible := func(e *endpoint) bool {
 		return (all || !e.ejected) && !e.alone && !slices.Contains(exclude, e.ID)
 	}
