Ramp an endpoint that changed its address, and check the caller first

An endpoint that restarts under its old name, without a list that lacked it, kept its old measurements and got full load while cold. Admit gave a slot to a request whose caller had given up.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -74,6 +74,9 @@
 
 // Admit implements dispatch.Admission.
 func (c *Control) Admit(ctx context.Context, n dispatch.Need) (dispatch.Permit, error) {
+	if ctx.Err() != nil {
+		return nil, cancelled(ctx)
+	}
 	t, granted, err := c.queue(n.Service).enter(time.Now(), n)
 	if err != nil {
 		return nil, err
--- a/internal/admission/admit_test.go
+++ b/internal/admission/admit_test.go
@@ -66,6 +66,9 @@
 		if !errors.As(err, &refusal) || refusal.Reason != dispatch.ReasonCancelled {
 			t.Fatalf("err %v", err)
 		}
+		if _, err = c.Admit(ctx, n); err == nil {
+			t.Error("admitted a request whose caller had given up")
+		}
 		p.Release()
 		if l := c.Load("s"); l.Waiting[normal] != 0 || l.InFlight[normal] != 0 || r.taken != 0 {
 			t.Errorf("load %+v, %d slots taken", l, r.taken)
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -291,6 +292,13 @@
 		So(share(0), ShouldBeBetween, 0.0, 0.04)
 		So(share(5*time.Second), ShouldBeBetween, 0.06, 0.17)
 		So(share(15*time.Second), ShouldBeBetween, 0.15, 0.25)
+
+		Convey("again when it returns at another address", func() {
+			moved := listOf(5)
+			moved[4].Addr = netip.MustParseAddrPort("127.0.0.1:1")
+			b.SetEndpoints(start.Add(30*time.Second), moved)
+			So(share(30*time.Second), ShouldBeBetween, 0.0, 0.04)
+		})
 	})
 }
 
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -119,12 +119,15 @@
 func (b *Balancer) keep(now time.Time, l model.Endpoint, first bool) *endpoint {
 	e := b.endpoints[l.ID]
 	if e == nil {
-		e = &endpoint{rampStart: now}
+		e = &endpoint{Endpoint: l, rampStart: now}
 		if first {
 			e.rampStart = now.Add(-RampTime)
 		}
 		b.endpoints[l.ID] = e
 	}
+	if e.Addr != l.Addr {
+		e.restore(now) // a new process under the old name
+	}
 	e.Endpoint = l
 	e.gone = false
 	return e
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -78,6 +78,9 @@
 // endpoint. A non-repeatable request needs a claim; Do records its intent once,
 // directly before it sends the request for the first time.
 //
+// The request is not to be changed afterwards: a hedged attempt that lost may
+// read it until its Transport returns.
+//
 // Not run is reported only if no attempt reached an endpoint, or the endpoint
 // refused the request each time.
 func (d *Dispatcher) Do(ctx context.Context, r *Request, claim Claim) Result {
