Make three tests notice when their mechanism is missing

With newest first, the bound of the queue, the estimate of the wait or the latency of a failure taken out, the tests still passed: queues in the property test stayed too short, and other mechanisms covered for the latency. Bursts, fewer slots, and a look at the estimate itself.

--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -125,7 +125,7 @@
 // Compares the queue with a naive sorted list.
 func TestOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(1, 20).Draw(t, "slots")
+		n := rapid.SampledFrom([]int{1, 2, 3, 4, 8, 20}).Draw(t, "slots")
 		r := newRouter(n)
 		q := newQueue("s", r, [numClasses]float64{})
 		m := &naiveQueue{slots: n}
@@ -144,24 +144,14 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"enter": func(t *rapid.T) {
-				pass(time.Microsecond)
 				p := model.Priority(rapid.IntRange(1, 3).Draw(t, "priority"))
-				deadline := now.Add(time.Duration(rapid.IntRange(50, 5000).Draw(t, "ms")) * time.Millisecond)
-				full := m.count(classOf(p)) >= q.limit()
-				newestFirst := m.oldest(now, classOf(p)) > overloadAfter
-				tk, _, err := q.enter(now, need(p, deadline))
-				if (err != nil) != (full && !newestFirst) {
-					t.Fatalf("refused: %v, queue full: %v, newest first: %v", err, full, newestFirst)
-				}
-				if err != nil {
-					return
-				}
-				if full {
-					m.dropOldest(tk.class)
+				for range rapid.IntRange(1, 8).Draw(t, "burst") {
+					pass(time.Microsecond)
+					deadline := now.Add(time.Duration(rapid.IntRange(50, 5000).Draw(t, "ms")) * time.Millisecond)
+					if tk := m.enter(t, q, now, need(p, deadline)); tk != nil {
+						live = append(live, tk)
+					}
 				}
-				live = append(live, tk)
-				m.waiting = append(m.waiting, tk)
-				m.serve(now)
 			},
 			"release": func(t *rapid.T) {
 				i := slices.IndexFunc(live, func(x *ticket) bool { return x.state == stateGranted })
@@ -190,6 +180,26 @@
 	})
 }
 
+// enter enters a request into both queues. It returns nil if it was refused.
+func (m *naiveQueue) enter(t *rapid.T, q *queue, now time.Time, n dispatch.Need) *ticket {
+	class := classOf(n.Priority)
+	full := m.count(class) >= max(8, 2*m.slots)
+	newestFirst := m.oldest(now, class) > overloadAfter
+	tk, _, err := q.enter(now, n)
+	if (err != nil) != (full && !newestFirst) {
+		t.Fatalf("refused: %v, queue full: %v, newest first: %v", err, full, newestFirst)
+	}
+	if err != nil {
+		return nil
+	}
+	if full {
+		m.dropOldest(class)
+	}
+	m.waiting = append(m.waiting, tk)
+	m.serve(now)
+	return tk
+}
+
 func (m *naiveQueue) dropOldest(class int) {
 	var oldest *ticket
 	for _, t := range m.waiting {
@@ -216,7 +226,7 @@
 		t.Fatalf("%d slots taken, %d in flight, %d in the model", r.taken, inFlight, m.inFlight)
 	}
 	for c := range q.waiting {
-		if q.waiting[c].n > q.limit() {
+		if q.waiting[c].n > max(8, 2*m.slots) {
 			t.Fatalf("%d waiting in class %d", q.waiting[c].n, c)
 		}
 	}
@@ -234,10 +244,10 @@
 	if !granted {
 		t.Fatal("a free slot was not granted")
 	}
-	if _, _, err := q.enter(start, need(1, start.Add(99*time.Millisecond))); err == nil {
+	late, _, _ := q.enter(start, need(1, start.Add(150*time.Millisecond)))
+	if _, _, err := q.enter(start, need(1, start.Add(190*time.Millisecond))); err == nil {
 		t.Error("queued although its turn comes too late")
 	}
-	late, _, _ := q.enter(start, need(1, start.Add(150*time.Millisecond)))
 	now := start.Add(80 * time.Millisecond)
 	q.answered(now, critical, 100*time.Millisecond)
 	q.release(now, first, now)
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -238,12 +238,19 @@
 // failures, fast refusals, and idle reports from slow endpoints.
 func TestMisleadingEndpoints(t *testing.T) {
 	Convey("an endpoint that answers 500 at once gets no more than its share", t, func() {
-		n := play(newBalancer(4), start, 1000, func(e model.Endpoint, o *dispatch.Observation) {
-			if e.ID == "e0" && n500(o) {
+		calls := 0
+		b := newBalancer(4)
+		n := play(b, start, 1000, func(e model.Endpoint, o *dispatch.Observation) {
+			if e.ID != "e0" {
+				return
+			}
+			o.Latency = time.Millisecond
+			if calls++; calls%2 == 0 { // it is never ejected
 				o.Status = 500
 			}
 		})
 		So(n["e0"], ShouldBeLessThan, 100)
+		So(b.endpoints["e0"].latency, ShouldBeGreaterThan, b.endpoints["e1"].latency)
 	})
 	Convey("an endpoint that refuses at once gets no more than its share", t, func() {
 		n := play(newBalancer(4), start, 1000, func(e model.Endpoint, o *dispatch.Observation) {
@@ -272,13 +279,6 @@
 	})
 }
 
-// n500 makes the answer fast and reports whether it is to fail: every second
-// one, so that the endpoint is never ejected.
-func n500(o *dispatch.Observation) bool {
-	o.Latency = time.Millisecond
-	return rand.IntN(2) == 0
-}
-
 // Guards against full load on a cold endpoint, and against none at all.
 func TestRamp(t *testing.T) {
 	Convey("a new endpoint gets its share over 10 s", t, func() {
