Make more tests notice when their mechanism is missing

Not noticed before: a request sent after a failed intent, hedges beyond the budget, unbounded saved tokens, a lost signal of the Router (the poll covered for it), a cancelled caller, probes one at a time.

--- a/internal/admission/admit_test.go
+++ b/internal/admission/admit_test.go
@@ -42,8 +42,9 @@
 				time.AfterFunc(time.Second, func() { way(c, r, p) })
 				begin := time.Now()
 				p2, err := c.Admit(t.Context(), n)
-				if err != nil || time.Since(begin) > 2*time.Second+pollPause {
-					t.Fatalf("err %v after %v", err, time.Since(begin))
+				most := map[string]time.Duration{"held slot": 2 * time.Second, "cap": time.Second + pollPause}[name]
+				if took := time.Since(begin); err != nil || took > max(most, time.Second) {
+					t.Fatalf("err %v after %v", err, took)
 				}
 				p2.Release()
 			})
@@ -66,10 +67,10 @@
 		if !errors.As(err, &refusal) || refusal.Reason != dispatch.ReasonCancelled {
 			t.Fatalf("err %v", err)
 		}
+		p.Release()
 		if _, err = c.Admit(ctx, n); err == nil {
 			t.Error("admitted a request whose caller had given up")
 		}
-		p.Release()
 		if l := c.Load("s"); l.Waiting[normal] != 0 || l.InFlight[normal] != 0 || r.taken != 0 {
 			t.Errorf("load %+v, %d slots taken", l, r.taken)
 		}
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -94,6 +94,9 @@
 	if p.intents > 1 || r.Repeatable && p.intents > 0 {
 		t.Fatalf("%d intents", p.intents)
 	}
+	if !r.Repeatable && p.intentErr != nil && len(p.sends) > 0 {
+		t.Fatalf("sent %d times although the intent failed", len(p.sends))
+	}
 	if (res.Outcome == model.OutcomeNotRun) == mayHaveRun {
 		t.Fatalf("outcome %s, may have run: %v", res.Outcome, mayHaveRun)
 	}
@@ -182,6 +185,26 @@
 	}
 }
 
+// Guards against hedges that double the load when all endpoints become slow.
+func TestHedgesKeepTheBudget(t *testing.T) {
+	p := &parts{}
+	synctest.Test(t, func(*testing.T) {
+		d := p.dispatcher()
+		warmUp(d, p)
+		p.script = []step{func(context.Context) (*dispatch.Response, error) {
+			time.Sleep(200 * time.Millisecond)
+			return &dispatch.Response{Status: 200}, nil
+		}}
+		for range 1000 {
+			d.Do(context.Background(), &dispatch.Request{Service: "s", Priority: 1, Repeatable: true}, nil)
+		}
+		d.Wait()
+	})
+	if n := len(p.sends); n > 1110 || n <= 1000 {
+		t.Errorf("%d sends of 1000 requests, want some hedges and at most 110", n)
+	}
+}
+
 // Guards against slots of lost attempts that stay taken until the caller's
 // deadline, and against work that is slow by nature and never gets the time.
 func TestFirstAttemptIsLimited(t *testing.T) {
--- a/internal/dispatch/probe_test.go
+++ b/internal/dispatch/probe_test.go
@@ -17,6 +17,8 @@
 	mu      sync.Mutex
 	due     []model.Endpoint
 	results map[model.EndpointID]bool
+	begin   time.Time
+	slowest time.Duration
 }
 
 func (p *probes) DueProbes(time.Time) []model.Endpoint {
@@ -31,6 +33,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.results[id] = ok
+	if ok {
+		p.slowest = max(p.slowest, time.Since(p.begin))
+	}
 }
 
 func (p *probes) Probe(ctx context.Context, e model.Endpoint) error {
@@ -55,8 +60,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
+		p.begin = time.Now()
 		dispatch.RunProbes(ctx, p, p)
 	})
+	if p.slowest > 1500*time.Millisecond {
+		t.Errorf("the probe of a good endpoint ended after %v", p.slowest)
+	}
 	want := map[model.EndpointID]bool{"silent": false, "refuses": false, "well": true}
 	for id, ok := range want {
 		if got, done := p.results[id]; !done || got != ok {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -50,6 +50,21 @@
 	})
 }
 
+// Guards against a burst of retries after a long quiet time.
+func TestSavedTokensAreBounded(t *testing.T) {
+	var b Budget
+	for range 10000 {
+		b.Deposit()
+	}
+	n := 0
+	for b.Withdraw() {
+		n++
+	}
+	if n != 10 {
+		t.Errorf("%d retries at once after 10,000 requests, want 10", n)
+	}
+}
+
 // Guards against budgets that multiply: a caller's repetitions use up the
 // budget for ours.
 func TestCallersRepetitionsCount(t *testing.T) {
