Allocate less for repeatable requests

One context and one timer less for the limit of the first attempt, room for the endpoints tried, and a cached quantile.

--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"sync"
@@ -343,3 +344,27 @@
 		t.Errorf("preempting %d, bulk in flight %d after the slot returned", q.preempting, q.inFlight[bulk])
 	}
 }
+
+// BenchmarkCapacityQueue measures one request that waits behind others.
+func BenchmarkCapacityQueue(b *testing.B) {
+	for _, waiting := range []int{0, 100, 900} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			q := newQueue("s", newRouter(500), [numClasses]float64{0, 0.05, 0.05})
+			q.slots = 500
+			var running []*ticket
+			for range 500 + waiting {
+				tk, _, _ := q.enter(start, need(1, start.Add(time.Hour)))
+				running = append(running, tk)
+			}
+			b.ReportAllocs()
+			now := start
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				tk, _, _ := q.enter(now, need(1, now.Add(time.Hour)))
+				running = append(running, tk)
+				q.release(now, running[0], now)
+				running = running[1:]
+			}
+		})
+	}
+}
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -68,4 +68,13 @@
 			}
 		})
 	}
+	b.Run("parallel", func(b *testing.B) {
+		b.ReportAllocs()
+		b.RunParallel(func(pb *testing.PB) {
+			r := &dispatch.Request{Service: "s", Priority: 2, Repeatable: true}
+			for pb.Next() {
+				d.Do(ctx, r, noClaim{})
+			}
+		})
+	})
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -90,6 +90,7 @@
 		ctx = limited
 	}
 	x := exchange{d: d, r: r, claim: claim, policy: d.cfg.Retry.Service(r.Service)}
+	x.tried = x.triedArray[:0]
 	if !x.withinBudget() {
 		x.last.reason = ReasonRetryBudget
 		x.last.retryAfter = time.Second
@@ -113,6 +114,7 @@
 	mayHaveRun bool
 	attempts   int
 	tried      []model.EndpointID
+	triedArray [maxAttempts]model.EndpointID // what tried starts with
 	avoid      []model.Region
 	last       attempt
 }
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,36 +43,53 @@
 	cause error
 }
 
-// send runs one attempt and, for work worth it, a hedged second one.
+// send runs one attempt. The Dispatcher itself cancels only repeatable work:
+// preempted, overtaken by a hedged second attempt, or too slow.
 func (x *exchange) send(ctx context.Context, permit Permit, to model.Endpoint) {
 	x.attempts++
-	if !x.cancellable() {
+	if !x.r.Repeatable {
 		x.conclude(x.attempt(ctx, permit, to))
 		return
 	}
-	limited, done := x.limit(ctx)
-	defer done()
-	own, cancel := context.WithCancelCause(limited)
+	own, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	permit.Preemptible(func() { cancel(errPreempted) })
-	h := x.startHedge(ctx, cancel)
-	s := x.attempt(own, permit, to)
-	x.conclude(h.settle(x, s))
+	p95, measured := x.policy.HedgeDelay()
+	if !measured {
+		x.conclude(x.attempt(own, permit, to))
+		return
+	}
+	if x.attempts == 1 {
+		limit := tooSlow(p95)
+		own = deadlineContext{own, earlier(ctx, time.Now().Add(limit))}
+		timer := time.AfterFunc(limit, func() { cancel(errTooSlow) })
+		defer timer.Stop()
+	}
+	h := x.startHedge(ctx, cancel, p95)
+	x.conclude(h.settle(x, x.attempt(own, permit, to)))
+}
+
+// tooSlow is the time after which an attempt is given up, by the 95th
+// percentile of the latency.
+func tooSlow(p95 time.Duration) time.Duration {
+	return max(firstMin, firstFactor*p95)
 }
 
-// limit bounds the first attempt.
-func (x *exchange) limit(ctx context.Context) (context.Context, context.CancelFunc) {
-	p95, ok := x.policy.HedgeDelay()
-	if !ok || x.attempts > 1 {
-		return ctx, func() {}
-	}
-	end := time.Now().Add(max(firstMin, firstFactor*p95))
-	return context.WithDeadlineCause(ctx, end, errTooSlow)
+// deadlineContext has an earlier deadline than its parent, for the Transport to
+// pass on. Whoever made it cancels the parent then. It saves the second timer
+// and context of context.WithDeadlineCause.
+type deadlineContext struct {
+	context.Context
+	deadline time.Time
 }
 
-// cancellable reports whether the Dispatcher may cancel an attempt itself.
-func (x *exchange) cancellable() bool {
-	return x.r.Repeatable
+func (c deadlineContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+func earlier(ctx context.Context, t time.Time) time.Time {
+	if d, ok := ctx.Deadline(); ok && d.Before(t) {
+		return d
+	}
+	return t
 }
 
 // attempt sends once, teaches the balancer and returns the slot.
@@ -206,18 +224,13 @@
 
 // startHedge arms the timer of a hedged attempt for repeatable priority 1 and
 // 2 work. It returns nil if there is none.
-func (x *exchange) startHedge(ctx context.Context, cancelFirst context.CancelCauseFunc) *hedge {
-	if x.r.Priority == model.PriorityBulk || x.verdict != VerdictAllow {
-		return nil
-	}
-	delay, ok := x.policy.HedgeDelay()
+func (x *exchange) startHedge(ctx context.Context, cancelFirst context.CancelCauseFunc, delay time.Duration) *hedge {
 	deadline, _ := ctx.Deadline()
-	if !ok || time.Until(deadline) < 2*delay {
+	if x.r.Priority == model.PriorityBulk || x.verdict != VerdictAllow || time.Until(deadline) < 2*delay {
 		return nil
 	}
 	h := &hedge{done: make(chan struct{})}
-	need := x.need(ctx)
-	tried := append([]model.EndpointID(nil), x.tried...)
+	need, tried := x.need(ctx), slices.Clip(x.tried) // x changes meanwhile
 	x.d.hedges.Add(1)
 	h.timer = time.AfterFunc(delay, func() {
 		defer x.d.hedges.Done()
--- a/internal/retry/quantile.go
+++ b/internal/retry/quantile.go
@@ -17,6 +17,9 @@
 	bucketCount = 20*bucketsPerOctave + 1
 	// minSamples is how many samples a 95th percentile needs at least.
 	minSamples = 20
+	// recomputeShare is the fraction of new samples, 1 / 64, after which the
+	// quantile is computed anew; it costs 161 steps.
+	recomputeShare = 64
 	// halveAt is the sample count at which all counts are halved, so that old
 	// samples lose weight.
 	halveAt = 1000
@@ -28,6 +31,9 @@
 	mu     sync.Mutex
 	counts [bucketCount]uint16
 	total  int
+	// last is the result of the last get, age the samples since then.
+	last time.Duration
+	age  int
 }
 
 func (q *quantile) add(d time.Duration) {
@@ -36,6 +42,7 @@
 	defer q.mu.Unlock()
 	q.counts[i]++
 	q.total++
+	q.age++
 	if q.total < halveAt {
 		return
 	}
@@ -46,21 +53,30 @@
 	}
 }
 
-// get returns the upper bound of the bucket that holds the quantile.
+// get returns the upper bound of the bucket that holds the quantile, which is
+// the same in all calls.
 func (q *quantile) get(fraction float64) (time.Duration, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.total < minSamples {
 		return 0, false
 	}
+	if q.last > 0 && q.age <= q.total/recomputeShare {
+		return q.last, true
+	}
+	q.last, q.age = q.compute(fraction), 0
+	return q.last, true
+}
+
+func (q *quantile) compute(fraction float64) time.Duration {
 	above := int(float64(q.total) * (1 - fraction))
 	for i := bucketCount - 1; i >= 0; i-- {
 		above -= int(q.counts[i])
 		if above < 0 {
-			return bucketBound(i), true
+			return bucketBound(i)
 		}
 	}
-	return smallestBucket, true
+	return smallestBucket
 }
 
 func bucketOf(d time.Duration) int {
