--- a/internal/policytest/policy_test.go
+++ b/internal/policytest/policy_test.go
@@ -44,9 +44,9 @@
 // mix is the steady load: 70 % of capacity.
 func mix() []load {
 	return []load{
-		{model.PriorityCritical, 0.2, 0, endOfLoad},
-		{model.PriorityNormal, 0.3, 0, endOfLoad},
-		{model.PriorityBulk, 0.2, 0, endOfLoad},
+		{model.PriorityCritical, 0.2, 0, endOfLoad, 0},
+		{model.PriorityNormal, 0.3, 0, endOfLoad, 0},
+		{model.PriorityBulk, 0.2, 0, endOfLoad, 0},
 	}
 }
 
@@ -89,7 +89,7 @@
 	var p99, share [2]float64
 	for seed := range uint64(floodRuns) {
 		none, flood := base("bulk-flood-none"), base("bulk-flood")
-		flood.loads = append(mix(), load{model.PriorityBulk, 10, warm - second, endOfLoad})
+		flood.loads = append(mix(), load{model.PriorityBulk, 10, warm - second, endOfLoad, 0})
 		none.seed, flood.seed = seed, seed
 		if seed == 0 {
 			measure(t, flood, true)
@@ -113,7 +113,7 @@
 	for seed := range uint64(floodRuns) {
 		s := base("critical-flood")
 		s.seed = seed
-		s.loads = append(mix(), load{model.PriorityCritical, 5, warm - second, endOfLoad})
+		s.loads = append(mix(), load{model.PriorityCritical, 5, warm - second, endOfLoad, 0})
 		if seed == 0 {
 			measure(t, s, true)
 		}
@@ -136,7 +136,7 @@
 		"failing-refuses": func(e *endpoint) { e.refusing = true },
 	} {
 		s := base(name)
-		s.loads = []load{{model.PriorityCritical, 0.2, 0, endOfLoad}, {model.PriorityNormal, 0.3, 0, endOfLoad}}
+		s.loads = []load{{model.PriorityCritical, 0.2, 0, endOfLoad, 0}, {model.PriorityNormal, 0.3, 0, endOfLoad, 0}}
 		s.prepare = func(w *world) { w.change(f) }
 		_, p := both(t, s)
 		within(t, "attempts", p.attempts, 0, 1.1)
@@ -169,6 +169,20 @@
 	within(t, "critical work answered", p.answered(1), 0.999, 1)
 }
 
+// Guards against callers with short deadlines that make healthy endpoints look
+// unhealthy: half of the normal work has a deadline of 80 ms.
+func TestPolicyShortDeadlines(t *testing.T) {
+	s := base("short-deadlines")
+	s.loads = []load{
+		{model.PriorityCritical, 0.2, 0, endOfLoad, 0},
+		{model.PriorityNormal, 0.15, 0, endOfLoad, 80 * time.Millisecond},
+		{model.PriorityNormal, 0.15, 0, endOfLoad, 0},
+		{model.PriorityBulk, 0.2, 0, endOfLoad, 0},
+	}
+	_, p := both(t, s)
+	within(t, "critical work answered", p.answered(1), 0.999, 1)
+}
+
 // Guards against full load on endpoints that start cold.
 func TestPolicyColdStart(t *testing.T) {
 	s := base("cold-start")
@@ -244,7 +258,7 @@
 // compared.
 func TestPolicyRepeats(t *testing.T) {
 	s := base("repeat")
-	s.loads = append(mix(), load{model.PriorityCritical, 3, warm, endOfLoad})
+	s.loads = append(mix(), load{model.PriorityCritical, 3, warm, endOfLoad, 0})
 	first, second := row(s, "product", measure(t, s, false)), row(s, "product", measure(t, s, false))
 	if first != second {
 		t.Errorf("figures differ:\n%s\n%s", first, second)
--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -1,6 +1,7 @@
 package policytest
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -47,6 +48,8 @@
 	priority model.Priority
 	fraction float64
 	from, to time.Duration
+	// patience replaces the usual one if it is not 0.
+	patience time.Duration
 }
 
 // event changes the world at a time after the start.
@@ -262,7 +265,7 @@
 			return
 		}
 		w.callers.Add(1)
-		go w.call(l.priority, work(rnd), rnd.IntN(instances), rnd.Float64())
+		go w.call(l, work(rnd), rnd.IntN(instances), rnd.Float64())
 	}
 }
 
@@ -281,10 +284,11 @@
 }
 
 // call is one caller. Half of the priority 1 work may not be repeated.
-func (w *world) call(p model.Priority, work time.Duration, at int, u float64) {
+func (w *world) call(l load, work time.Duration, at int, u float64) {
 	defer w.callers.Done()
+	p := l.priority
 	begin := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), patience[p])
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(l.patience, patience[p]))
 	defer cancel()
 	w.deposit()
 	r := &dispatch.Request{
