--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -185,6 +185,36 @@
 	}
 }
 
+// Guards against callers with short deadlines who get healthy endpoints ejected,
+// and against endpoints that are never blamed for a timeout.
+func TestDeadlineBlame(t *testing.T) {
+	for _, c := range []struct {
+		deadline time.Duration
+		end      step
+		censored bool
+	}{
+		{50 * time.Millisecond, hang, true},
+		{3 * time.Second, hang, false},
+		{50 * time.Millisecond, func(ctx context.Context) (*dispatch.Response, error) {
+			<-ctx.Done()
+			return nil, dispatch.ErrNotSent
+		}, true},
+	} {
+		p := &parts{noHedge: true}
+		synctest.Test(t, func(*testing.T) {
+			d := p.dispatcher()
+			warmUp(d, p)
+			p.script = []step{c.end}
+			ctx, cancel := context.WithTimeout(context.Background(), c.deadline)
+			defer cancel()
+			d.Do(ctx, &dispatch.Request{Service: "s", Priority: 1}, p)
+		})
+		if len(p.observed) != 1 || p.observed[0].Censored != c.censored {
+			t.Errorf("deadline %v: observed %+v", c.deadline, p.observed)
+		}
+	}
+}
+
 // Guards against hedges that double the load when all endpoints become slow at
 // once, before the latency quantile follows.
 func TestHedgesKeepTheBudget(t *testing.T) {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -133,9 +133,12 @@
 func (x *exchange) observe(now time.Time, latency time.Duration, to model.Endpoint, s sent) {
 	o := Observation{Endpoint: to, Latency: latency, Err: s.err, Utilization: -1}
 	switch {
-	case s.cause == errOvertaken:
+	case s.cause == nil:
+	case s.cause == errTooSlow, x.failedByTime(s.cause, latency):
+		o.Err = ErrInterrupted // also when it was not sent by then
+	case s.cause == errOvertaken, errors.Is(s.cause, context.DeadlineExceeded):
 		o.Censored = true
-	case s.cause != nil && s.cause != errTooSlow && !errors.Is(s.cause, context.DeadlineExceeded):
+	default:
 		x.d.cfg.Balancer.Cancel(to.ID)
 		return
 	}
@@ -147,6 +150,14 @@
 	x.d.cfg.Balancer.Observe(now, o)
 }
 
+// failedByTime reports whether an attempt that met the caller's deadline had
+// enough time to blame the endpoint. Otherwise callers with short deadlines
+// would get healthy endpoints ejected.
+func (x *exchange) failedByTime(cause error, took time.Duration) bool {
+	p95, _ := x.policy.HedgeDelay()
+	return errors.Is(cause, context.DeadlineExceeded) && took >= tooSlow(p95)
+}
+
 // release returns the slot of an attempt. An interrupted one may still run
 // until its deadline. A cancelled repeatable one ends as soon as the endpoint
 // has the cancellation. A cancelled non-repeatable one keeps its slot until
