--- a/internal/admission/admit_test.go
+++ b/internal/admission/admit_test.go
@@ -16,6 +16,7 @@
 // another holder, a signal of the Router alone, the end of a held slot, and
 // the end of the cap on traffic shifts, for which there is no signal.
 func TestWaitersWake(t *testing.T) {
+	const freeAt = 1010 * time.Millisecond // not when waiting requests poll
 	ways := map[string]func(c *Control, r *fakeRouter, p dispatch.Permit){
 		"release":   func(_ *Control, _ *fakeRouter, p dispatch.Permit) { p.Release() },
 		"held slot": func(_ *Control, _ *fakeRouter, p dispatch.Permit) { p.ReleaseAt(time.Now().Add(time.Second)) },
@@ -39,11 +40,12 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				time.AfterFunc(time.Second, func() { way(c, r, p) })
+				time.AfterFunc(freeAt, func() { way(c, r, p) })
 				begin := time.Now()
 				p2, err := c.Admit(t.Context(), n)
-				if err != nil || time.Since(begin) > 2*time.Second+pollPause {
-					t.Fatalf("err %v after %v", err, time.Since(begin))
+				more := map[string]time.Duration{"held slot": time.Second, "cap": pollPause}[name]
+				if took := time.Since(begin); err != nil || took > freeAt+more {
+					t.Fatalf("err %v after %v", err, took)
 				}
 				p2.Release()
 			})
@@ -67,6 +69,9 @@
 			t.Fatalf("err %v", err)
 		}
 		p.Release()
+		if _, err = c.Admit(ctx, n); err == nil {
+			t.Error("admitted a request whose caller had given up")
+		}
 		if l := c.Load("s"); l.Waiting[normal] != 0 || l.InFlight[normal] != 0 || r.taken != 0 {
 			t.Errorf("load %+v, %d slots taken", l, r.taken)
 		}
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -151,6 +152,34 @@
 	})
 }
 
+// Guards against a lost endpoint that costs three requests, and against one
+// that stays out although it is well and only one connection broke.
+func TestSuspectIsProbed(t *testing.T) {
+	Convey("an endpoint that did not answer", t, func() {
+		b := newBalancer(4)
+		b.cfg.ActiveProbes = true
+		fails(b, 1)
+		So(b.DueProbes(start), ShouldHaveLength, 1)
+		Convey("is ejected by failed probes", func() {
+			b.Probed(start, "e0", false)
+			So(b.endpoints["e0"].ejected, ShouldBeFalse)
+			So(b.DueProbes(start), ShouldHaveLength, 1)
+			b.Probed(start, "e0", false)
+			So(b.endpoints["e0"].ejected, ShouldBeTrue)
+		})
+		Convey("returns after a good probe", func() {
+			So(b.endpoints["e0"].aside(start), ShouldBeTrue)
+			b.Probed(start, "e0", true)
+			So(b.endpoints["e0"].aside(start), ShouldBeFalse)
+			So(b.DueProbes(start), ShouldHaveLength, 0)
+		})
+		Convey("is not affected by a probe that nobody started", func() {
+			b.Probed(start, "e1", false)
+			So(b.endpoints["e1"].inARow, ShouldEqual, 0)
+		})
+	})
+}
+
 // Guards against concentrating all work on the few endpoints that look healthy
 // when the measurement itself is at fault, and against refusing all work.
 func TestDistrust(t *testing.T) {
@@ -169,16 +198,59 @@
 	})
 }
 
+// Guards against work that goes on to a lost region because its endpoints, all
+// failing, look like a fault of the measurement; also after a new list.
+func TestLostRegionIsNotDistrusted(t *testing.T) {
+	Convey("a region without a healthy endpoint gets nothing while others are well", t, func() {
+		b := newBalancer(0)
+		list := listOf(9)
+		for i := range list {
+			list[i].Region = []model.Region{"r", "q", "p"}[i%3]
+		}
+		b.SetEndpoints(start, list)
+		for _, e := range list[:9] {
+			if e.Region == "r" {
+				b.Observe(start, dispatch.Observation{Endpoint: e, Err: dispatch.ErrNotSent, Utilization: -1})
+			}
+		}
+		b.SetEndpoints(start, list)
+		So(play(b, start, 20, answer)["none"], ShouldEqual, 20)
+		_, ok := b.Pick(start, "s", "q", nil)
+		So(ok, ShouldBeTrue)
+	})
+}
+
+// Guards against work for an ejected endpoint because the others are loaded: a
+// refusal with Retry-After is no sign of a fault. Work is not refused either.
+func TestPausedAreNotDistrusted(t *testing.T) {
+	Convey("when the others ask for a pause, an ejected endpoint stays out", t, func() {
+		b := newBalancer(4)
+		fails(b, ejectAfter)
+		for _, e := range listOf(4)[1:] {
+			b.Observe(start, dispatch.Observation{Endpoint: e, Err: dispatch.ErrRefused, RetryAfter: time.Second, Utilization: -1})
+		}
+		n := play(b, start, 100, answer)
+		So(n["e0"]+n["none"], ShouldEqual, 0)
+	})
+}
+
 // Guards against endpoints that attract work without being fast: fast
 // failures, fast refusals, and idle reports from slow endpoints.
 func TestMisleadingEndpoints(t *testing.T) {
 	Convey("an endpoint that answers 500 at once gets no more than its share", t, func() {
-		n := play(newBalancer(4), start, 1000, func(e model.Endpoint, o *dispatch.Observation) {
-			if e.ID == "e0" && n500(o) {
+		calls := 0
+		b := newBalancer(4)
+		n := play(b, start, 1000, func(e model.Endpoint, o *dispatch.Observation) {
+			if e.ID != "e0" {
+				return
+			}
+			o.Latency = time.Millisecond
+			if calls++; calls%2 == 0 { // it is never ejected
 				o.Status = 500
 			}
 		})
 		So(n["e0"], ShouldBeLessThan, 100)
+		So(b.endpoints["e0"].latency, ShouldBeGreaterThan, b.endpoints["e1"].latency)
 	})
 	Convey("an endpoint that refuses at once gets no more than its share", t, func() {
 		n := play(newBalancer(4), start, 1000, func(e model.Endpoint, o *dispatch.Observation) {
@@ -207,13 +279,6 @@
 	})
 }
 
-// n500 makes the answer fast and reports whether it is to fail: every second
-// one, so that the endpoint is never ejected.
-func n500(o *dispatch.Observation) bool {
-	o.Latency = time.Millisecond
-	return rand.IntN(2) == 0
-}
-
 // Guards against full load on a cold endpoint, and against none at all.
 func TestRamp(t *testing.T) {
 	Convey("a new endpoint gets its share over 10 s", t, func() {
@@ -227,6 +292,13 @@
 		So(share(0), ShouldBeBetween, 0.0, 0.04)
 		So(share(5*time.Second), ShouldBeBetween, 0.06, 0.17)
 		So(share(15*time.Second), ShouldBeBetween, 0.15, 0.25)
+
+		Convey("again when it returns at another address", func() {
+			moved := listOf(5)
+			moved[4].Addr = netip.MustParseAddrPort("127.0.0.1:1")
+			b.SetEndpoints(start.Add(30*time.Second), moved)
+			So(share(30*time.Second), ShouldBeBetween, 0.0, 0.04)
+		})
 	})
 }
 
@@ -278,7 +350,7 @@
 		for i := range c.instances {
 			b := New(Config{Instance: model.InstanceID(fmt.Sprintf("lagos-a-%d", i))})
 			b.instances = c.instances
-			for _, e := range b.newPool(poolKey{"s", "r"}, slices.Clone(all), nil).subset {
+			for _, e := range b.newPool(&group{}, slices.Clone(all), nil).subset {
 				use[index[e]]++
 			}
 		}
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -27,6 +27,9 @@
 	maxUtilization = 0.9
 	// slowFactor is how many times the mean latency makes an endpoint slow.
 	slowFactor = 1.5
+	// silencePause is how long an endpoint that did not answer is set aside. It
+	// takes 3 failures to eject it, and each may cost a slot for a long time.
+	silencePause = time.Second
 	// defaultLatency is the estimate before the first measurement.
 	defaultLatency = float64(20 * time.Millisecond)
 )
@@ -49,6 +52,7 @@
 	utilization float64
 	reportedAt  time.Time
 	pausedUntil time.Time
+	suspect     bool // did not answer the last request
 
 	inARow     int
 	ejected    bool
@@ -79,7 +83,13 @@
 
 // usable reports whether the endpoint takes ordinary work.
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.ejected && !e.alone && !now.Before(e.pausedUntil)
+	return !e.ejected && !e.alone && !e.aside(now)
+}
+
+// aside reports whether the endpoint refused work and asked for a pause, or
+// just failed to answer.
+func (e *endpoint) aside(now time.Time) bool {
+	return now.Before(e.pausedUntil)
 }
 
 // justFreed reports whether the endpoint's last answer is so new that the slot
@@ -94,6 +104,27 @@
 	return e.ejected && !e.probing && !now.Before(e.probeAt)
 }
 
+// probed takes the result of an active probe. A failed one counts like a failed
+// request, so that a lost endpoint is ejected without losing more requests.
+func (e *endpoint) probed(now time.Time, ok bool) {
+	e.probing = false
+	switch {
+	case ok && e.ejected:
+		e.restore(now)
+	case ok:
+		e.suspect = false
+		e.pausedUntil = time.Time{}
+	case e.ejected:
+		e.eject(now)
+	default:
+		e.inARow++
+		e.pausedUntil = now.Add(silencePause)
+		if e.inARow >= ejectAfter {
+			e.eject(now)
+		}
+	}
+}
+
 func (e *endpoint) observe(now time.Time, o dispatch.Observation, failureLatency time.Duration) {
 	switch {
 	case o.Censored:
@@ -113,6 +144,7 @@
 }
 
 func (e *endpoint) observeAnswer(now time.Time, o dispatch.Observation) {
+	e.suspect = false
 	e.inARow = 0
 	e.failures -= failureWeight * e.failures
 	if e.ejected {
@@ -149,6 +181,10 @@
 func (e *endpoint) observeFailure(now time.Time, o dispatch.Observation, failureLatency time.Duration) {
 	e.inARow++
 	e.failures += failureWeight * (1 - e.failures)
+	if errors.Is(o.Err, dispatch.ErrInterrupted) {
+		e.pausedUntil = now.Add(silencePause)
+		e.suspect = true
+	}
 	e.sample(now, float64(max(o.Latency, failureLatency)))
 	if e.ejected || e.inARow >= ejectAfter || errors.Is(o.Err, dispatch.ErrNotSent) {
 		e.eject(now)
@@ -169,15 +205,24 @@
 	if e.ejected && now.Before(e.probeAt) {
 		return
 	}
-	e.ejected = true
+	e.setEjected(true)
 	e.probing = false
+	e.suspect = false
 	e.probeAt = now.Add(min(ejectBase<<min(e.ejections, 10), ejectMax))
 	e.ejections++
 }
 
+func (e *endpoint) setEjected(v bool) {
+	if e.ejected != v && e.inSubset && !e.gone {
+		e.pool.group.ejected += map[bool]int{true: 1, false: -1}[v]
+	}
+	e.ejected = v
+}
+
 func (e *endpoint) restore(now time.Time) {
-	e.ejected = false
+	e.setEjected(false)
 	e.probing = false
+	e.suspect = false
 	e.ejections = 0
 	e.inARow = 0
 	e.failures = 0
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -90,8 +90,12 @@
 		k := poolKey{l.Service, l.Region}
 		members[k] = append(members[k], b.keep(now, l, old[k] == nil))
 	}
+	groups := map[model.Service]*group{}
 	for k, es := range members {
-		b.pools[k] = b.newPool(k, es, old[k])
+		if groups[k.service] == nil {
+			groups[k.service] = &group{}
+		}
+		b.pools[k] = b.newPool(groups[k.service], es, old[k])
 	}
 	for id, e := range b.endpoints {
 		if e.gone && e.outstanding == 0 {
@@ -115,19 +119,22 @@
 func (b *Balancer) keep(now time.Time, l model.Endpoint, first bool) *endpoint {
 	e := b.endpoints[l.ID]
 	if e == nil {
-		e = &endpoint{rampStart: now}
+		e = &endpoint{Endpoint: l, rampStart: now}
 		if first {
 			e.rampStart = now.Add(-RampTime)
 		}
 		b.endpoints[l.ID] = e
 	}
+	if e.Addr != l.Addr {
+		e.restore(now) // a new process under the old name
+	}
 	e.Endpoint = l
 	e.gone = false
 	return e
 }
 
-func (b *Balancer) newPool(k poolKey, members []*endpoint, old *pool) *pool {
-	p := &pool{}
+func (b *Balancer) newPool(g *group, members []*endpoint, old *pool) *pool {
+	p := &pool{group: g}
 	if old != nil {
 		p.mean = old.mean
 		p.utilization = old.utilization
@@ -137,7 +144,11 @@
 	for i, e := range members {
 		e.pool = p
 		e.inSubset = i < size
+		if e.inSubset && e.ejected {
+			g.ejected++
+		}
 	}
+	g.endpoints += size
 	p.subset = members[:size:size]
 	p.rest = members[size:]
 	return p
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -33,6 +33,19 @@
 	utilization float64
 	// freed is the endpoint that answered last, until it is picked.
 	freed *endpoint
+	group *group
+}
+
+// group is the subsets of a service in all regions. Ejections are distrusted
+// when they concern more than half of them. Counted by region, the loss of a
+// region would look like a fault of the measurement, and work would go on being
+// sent there.
+type group struct {
+	endpoints, ejected int
+}
+
+func (g *group) distrusted() bool {
+	return 2*g.ejected > g.endpoints
 }
 
 func (p *pool) meanLatency() float64 {
@@ -54,9 +67,8 @@
 	p.utilization += meanWeight * (u - p.utilization)
 }
 
-// pick returns the better of two random usable endpoints of the subset. When
-// more than half of the subset is not usable, it distrusts the measurements
-// and uses all. It returns nil if all are excluded.
+// pick returns the better of two random usable endpoints of the subset, or of
+// the rest if there is none. It returns nil if all are excluded or ejected.
 func (p *pool) pick(now time.Time, rnd *rand.Rand, exclude []model.EndpointID, probe bool) *endpoint {
 	if probe {
 		if e := p.probe(now, exclude); e != nil {
@@ -80,20 +92,25 @@
 	return nil
 }
 
+// pickFrom prefers endpoints that are not set aside. When more than half are,
+// it uses all that are not ejected, and all when the group is distrusted.
 func (p *pool) pickFrom(from []*endpoint, now time.Time, rnd *rand.Rand, exclude []model.EndpointID) *endpoint {
 	if len(from) == 0 {
 		return nil
 	}
-	all := distrust(from, now)
-	allowed := func(e *endpoint) bool {
-		return (all || e.usable(now)) && !e.alone && !slices.Contains(exclude, e.ID)
+	all := p.group.distrusted()
+	possible := func(e *endpoint) bool {
+		return (all || !e.ejected) && !e.alone && !slices.Contains(exclude, e.ID)
+	}
+	anyway := most(from, func(e *endpoint) bool { return e.ejected || e.aside(now) })
+	allowed := func(e *endpoint) bool { return possible(e) && (anyway || !e.aside(now)) }
+	e := better(now, draw(from, now, rnd, allowed), draw(from, now, rnd, allowed))
+	if e == nil {
+		e = lowest(from, now, allowed)
 	}
-	a := draw(from, now, rnd, allowed)
-	b := draw(from, now, rnd, allowed)
-	if a == nil && b == nil {
-		return lowest(from, now, allowed)
+	if e == nil {
+		return lowest(from, now, possible)
 	}
-	e := better(now, a, b)
 	if f := p.freed; f != nil && allowed(f) && f.justFreed(now) && f.cost(now) < freedMargin*e.cost(now) {
 		e = f
 	}
@@ -103,15 +120,15 @@
 	return e
 }
 
-// distrust reports whether more than half of the endpoints look unhealthy.
-func distrust(from []*endpoint, now time.Time) bool {
-	out := 0
+// most reports whether more than half of the endpoints are as asked.
+func most(from []*endpoint, is func(*endpoint) bool) bool {
+	n := 0
 	for _, e := range from {
-		if e.ejected || now.Before(e.pausedUntil) {
-			out++
+		if is(e) {
+			n++
 		}
 	}
-	return 2*out > len(from)
+	return 2*n > len(from)
 }
 
 // draw returns a random allowed endpoint, or nil after drawLimit draws. A cold
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -78,6 +78,9 @@
 // endpoint. A non-repeatable request needs a claim; Do records its intent once,
 // directly before it sends the request for the first time.
 //
+// The request is not to be changed afterwards: a hedged attempt that lost may
+// read it until its Transport returns.
+//
 // Not run is reported only if no attempt reached an endpoint, or the endpoint
 // refused the request each time.
 func (d *Dispatcher) Do(ctx context.Context, r *Request, claim Claim) Result {
@@ -87,6 +90,7 @@
 		ctx = limited
 	}
 	x := exchange{d: d, r: r, claim: claim, policy: d.cfg.Retry.Service(r.Service)}
+	x.tried = x.triedArray[:0]
 	if !x.withinBudget() {
 		x.last.reason = ReasonRetryBudget
 		x.last.retryAfter = time.Second
@@ -110,6 +114,7 @@
 	mayHaveRun bool
 	attempts   int
 	tried      []model.EndpointID
+	triedArray [maxAttempts]model.EndpointID // what tried starts with
 	avoid      []model.Region
 	last       attempt
 }
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -94,6 +94,9 @@
 	if p.intents > 1 || r.Repeatable && p.intents > 0 {
 		t.Fatalf("%d intents", p.intents)
 	}
+	if !r.Repeatable && p.intentErr != nil && len(p.sends) > 0 {
+		t.Fatalf("sent %d times although the intent failed", len(p.sends))
+	}
 	if (res.Outcome == model.OutcomeNotRun) == mayHaveRun {
 		t.Fatalf("outcome %s, may have run: %v", res.Outcome, mayHaveRun)
 	}
@@ -175,12 +178,80 @@
 		"non-repeatable work": {Service: "s", Priority: 1},
 	} {
 		p = &parts{}
-		if res, _ := play(t, p, r, nil, hang, status(200)); len(p.sends) != 1 {
+		res, _ := play(t, p, r, nil, hang, status(200))
+		if slices.ContainsFunc(p.sends, func(s sentTo) bool { return s.overlaps }) {
 			t.Errorf("%s was hedged: %+v", name, res)
 		}
 	}
 }
 
+// Guards against callers with short deadlines who get healthy endpoints ejected,
+// and against endpoints that are never blamed for a timeout.
+func TestDeadlineBlame(t *testing.T) {
+	for _, c := range []struct {
+		deadline time.Duration
+		end      step
+		censored bool
+	}{
+		{50 * time.Millisecond, hang, true},
+		{3 * time.Second, hang, false},
+		{50 * time.Millisecond, func(ctx context.Context) (*dispatch.Response, error) {
+			<-ctx.Done()
+			return nil, dispatch.ErrNotSent
+		}, true},
+	} {
+		p := &parts{noHedge: true}
+		synctest.Test(t, func(*testing.T) {
+			d := p.dispatcher()
+			warmUp(d, p)
+			p.script = []step{c.end}
+			ctx, cancel := context.WithTimeout(context.Background(), c.deadline)
+			defer cancel()
+			d.Do(ctx, &dispatch.Request{Service: "s", Priority: 1}, p)
+		})
+		if len(p.observed) != 1 || p.observed[0].Censored != c.censored {
+			t.Errorf("deadline %v: observed %+v", c.deadline, p.observed)
+		}
+	}
+}
+
+// Guards against hedges that double the load when all endpoints become slow at
+// once, before the latency quantile follows.
+func TestHedgesKeepTheBudget(t *testing.T) {
+	const fast, delayed = 900, 40
+	p := &parts{endpoints: 6}
+	synctest.Test(t, func(*testing.T) {
+		d := p.dispatcher()
+		p.script = slices.Repeat([]step{status(200)}, fast)
+		p.script = append(p.script, func(context.Context) (*dispatch.Response, error) {
+			time.Sleep(200 * time.Millisecond)
+			return &dispatch.Response{Status: 200}, nil
+		})
+		for range fast + delayed {
+			d.Do(context.Background(), &dispatch.Request{Service: "s", Priority: 1, Repeatable: true}, nil)
+		}
+		d.Wait()
+	})
+	if n := len(p.sends) - fast - delayed; n < 5 || n > 10+delayed/10 {
+		t.Errorf("%d hedges of %d slow requests, want some, at most the 10 saved tokens and 10 %%", n, delayed)
+	}
+}
+
+// Guards against slots of lost attempts that stay taken until the caller's
+// deadline, and against work that is slow by nature and never gets the time.
+func TestFirstAttemptIsLimited(t *testing.T) {
+	p := &parts{noHedge: true}
+	r := &dispatch.Request{Service: "s", Priority: 3, Repeatable: true}
+	res, took := play(t, p, r, nil, hang, slow)
+	if res.Outcome != model.OutcomeAnswered || took > 4*time.Second || len(p.heldUntil) != 0 {
+		t.Errorf("%+v after %v, slots held %v", res, took, p.heldUntil)
+	}
+	p = &parts{noHedge: true}
+	if res, _ := play(t, p, &dispatch.Request{Service: "s", Priority: 1}, nil, slow); res.Outcome != model.OutcomeAnswered {
+		t.Errorf("non-repeatable work: %+v", res)
+	}
+}
+
 // Guards against attempts that multiply when a service fails.
 func TestAttemptsOfFailingService(t *testing.T) {
 	for _, end := range []string{"503", "not sent", "refused", "interrupted"} {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,17 @@
 const (
 	errPreempted = errors.ConstError("attempt preempted by priority 1 work")
 	errOvertaken = errors.ConstError("another attempt answered first")
+	errTooSlow   = errors.ConstError("attempt took too long")
+)
+
+// The first attempt at repeatable work ends after firstFactor times the hedge
+// delay, which is the 95th percentile, and not before firstMin. The endpoint
+// gets that as its deadline, so a lost attempt returns its slot then and not at
+// the caller's deadline. At most 5 % of the attempts take longer than the 95th
+// percentile; the retry budget pays for a second attempt without this limit.
+const (
+	firstFactor = 4
+	firstMin    = 400 * time.Millisecond
 )
 
 // loadHeader carries an endpoint's load report (ORCA, in the TEXT format:
@@ -31,29 +43,57 @@
 	cause error
 }
 
-// send runs one attempt and, for work worth it, a hedged second one.
+// send runs one attempt. The Dispatcher itself cancels only repeatable work:
+// preempted, overtaken by a hedged second attempt, or too slow.
 func (x *exchange) send(ctx context.Context, permit Permit, to model.Endpoint) {
 	x.attempts++
-	if !x.cancellable() {
-		s := x.attempt(ctx, ctx, permit, to)
-		x.conclude(s)
+	if !x.r.Repeatable {
+		x.conclude(x.attempt(ctx, permit, to))
 		return
 	}
 	own, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	permit.Preemptible(func() { cancel(errPreempted) })
-	h := x.startHedge(ctx, cancel)
-	s := x.attempt(ctx, own, permit, to)
-	x.conclude(h.settle(x, s))
+	p95, measured := x.policy.HedgeDelay()
+	if !measured {
+		x.conclude(x.attempt(own, permit, to))
+		return
+	}
+	if x.attempts == 1 {
+		limit := tooSlow(p95)
+		own = deadlineContext{own, earlier(ctx, time.Now().Add(limit))}
+		timer := time.AfterFunc(limit, func() { cancel(errTooSlow) })
+		defer timer.Stop()
+	}
+	h := x.startHedge(ctx, cancel, p95)
+	x.conclude(h.settle(x, x.attempt(own, permit, to)))
+}
+
+// tooSlow is the time after which an attempt is given up, by the 95th
+// percentile of the latency.
+func tooSlow(p95 time.Duration) time.Duration {
+	return max(firstMin, firstFactor*p95)
+}
+
+// deadlineContext has an earlier deadline than its parent, for the Transport to
+// pass on. Whoever made it cancels the parent then. It saves the second timer
+// and context of context.WithDeadlineCause.
+type deadlineContext struct {
+	context.Context
+	deadline time.Time
 }
 
-// cancellable reports whether the Dispatcher may cancel an attempt itself.
-func (x *exchange) cancellable() bool {
-	return x.r.Repeatable
+func (c deadlineContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+func earlier(ctx context.Context, t time.Time) time.Time {
+	if d, ok := ctx.Deadline(); ok && d.Before(t) {
+		return d
+	}
+	return t
 }
 
 // attempt sends once, teaches the balancer and returns the slot.
-func (x *exchange) attempt(caller, ctx context.Context, permit Permit, to model.Endpoint) sent {
+func (x *exchange) attempt(ctx context.Context, permit Permit, to model.Endpoint) sent {
 	d := x.d
 	if q := d.cfg.Quarantine; q != nil {
 		q.Started(x.fingerprint, to.ID)
@@ -74,7 +114,7 @@
 		x.policy.Attempted(s.err != nil || retryableStatus(s.response.Status))
 	}
 	x.observe(now, now.Sub(start), to, s)
-	x.release(caller, now, now.Sub(start), permit, to, s)
+	x.release(ctx, now, now.Sub(start), permit, to, s)
 	return s
 }
 
@@ -93,9 +133,12 @@
 func (x *exchange) observe(now time.Time, latency time.Duration, to model.Endpoint, s sent) {
 	o := Observation{Endpoint: to, Latency: latency, Err: s.err, Utilization: -1}
 	switch {
-	case s.cause == errOvertaken:
+	case s.cause == nil:
+	case s.cause == errTooSlow, x.failedByTime(s.cause, latency):
+		o.Err = ErrInterrupted // also when it was not sent by then
+	case s.cause == errOvertaken, errors.Is(s.cause, context.DeadlineExceeded):
 		o.Censored = true
-	case s.cause != nil && !errors.Is(s.cause, context.DeadlineExceeded):
+	default:
 		x.d.cfg.Balancer.Cancel(to.ID)
 		return
 	}
@@ -107,11 +150,19 @@
 	x.d.cfg.Balancer.Observe(now, o)
 }
 
+// failedByTime reports whether an attempt that met the caller's deadline had
+// enough time to blame the endpoint. Otherwise callers with short deadlines
+// would get healthy endpoints ejected.
+func (x *exchange) failedByTime(cause error, took time.Duration) bool {
+	p95, _ := x.policy.HedgeDelay()
+	return errors.Is(cause, context.DeadlineExceeded) && took >= tooSlow(p95)
+}
+
 // release returns the slot of an attempt. An interrupted one may still run
 // until its deadline. A cancelled repeatable one ends as soon as the endpoint
 // has the cancellation. A cancelled non-repeatable one keeps its slot until
 // the deadline, because an endpoint need not stop an entry that it has begun.
-func (x *exchange) release(caller context.Context, now time.Time, took time.Duration, permit Permit, to model.Endpoint, s sent) {
+func (x *exchange) release(ctx context.Context, now time.Time, took time.Duration, permit Permit, to model.Endpoint, s sent) {
 	if !errors.Is(s.err, ErrInterrupted) {
 		if s.err == nil {
 			permit.Answered(took)
@@ -120,7 +171,7 @@
 		permit.Release()
 		return
 	}
-	deadline, _ := caller.Deadline()
+	deadline, _ := ctx.Deadline()
 	if s.cause != nil && x.r.Repeatable {
 		bound := farCancelTime
 		if to.Region == x.d.cfg.Region {
@@ -154,7 +205,7 @@
 
 func (x *exchange) interrupted(cause error) {
 	switch {
-	case cause == nil:
+	case cause == nil, cause == errTooSlow:
 		x.last.reason = ReasonInterrupted
 	case cause == errPreempted:
 		x.last.reason = ReasonPreempted
@@ -184,18 +235,13 @@
 
 // startHedge arms the timer of a hedged attempt for repeatable priority 1 and
 // 2 work. It returns nil if there is none.
-func (x *exchange) startHedge(ctx context.Context, cancelFirst context.CancelCauseFunc) *hedge {
-	if x.r.Priority == model.PriorityBulk || x.verdict != VerdictAllow {
-		return nil
-	}
-	delay, ok := x.policy.HedgeDelay()
+func (x *exchange) startHedge(ctx context.Context, cancelFirst context.CancelCauseFunc, delay time.Duration) *hedge {
 	deadline, _ := ctx.Deadline()
-	if !ok || time.Until(deadline) < 2*delay {
+	if x.r.Priority == model.PriorityBulk || x.verdict != VerdictAllow || time.Until(deadline) < 2*delay {
 		return nil
 	}
 	h := &hedge{done: make(chan struct{})}
-	need := x.need(ctx)
-	tried := append([]model.EndpointID(nil), x.tried...)
+	need, tried := x.need(ctx), slices.Clip(x.tried) // x changes meanwhile
 	x.d.hedges.Add(1)
 	h.timer = time.AfterFunc(delay, func() {
 		defer x.d.hedges.Done()
@@ -226,7 +272,7 @@
 		permit.Release()
 		return
 	}
-	h.end = x.attempt(ctx, own, permit, to)
+	h.end = x.attempt(own, permit, to)
 	if h.end.err == nil {
 		cancelFirst(errOvertaken)
 	}
