ledger: a key of the caller's own form without a binding is unknown

That the store has no binding does not show that the key will not run: an earlier request with it may be on its way to another instance, and callers that asked by GET /v1/outcomes were told not-run for it. A lookup now binds and closes the key. Without a binding the outcome is not-run only if the caller states that this is its first attempt.

--- a/client/work.go
+++ b/client/work.go
@@ -24,6 +24,7 @@
 const (
 	problemContent    = "application/problem+json"
 	responseGone      = "urn:jujubestile:problem:response-gone"
+	unboundKey        = "urn:jujubestile:problem:unbound"
 	maxQuestions      = 6
 	outcomeAnswered   = "answered"
 	outcomeNotRun     = "not-run"
@@ -165,6 +166,10 @@
 		title = p.Title
 	}
 	unknown := &UnknownError{Key: key, Title: title}
+	if p != nil && p.Type == unboundKey {
+		// The key may be bound elsewhere; sent again it leads there.
+		return step{again: true, err: unknown, after: retryAfter(r.header)}
+	}
 	if w.req.repeatable() {
 		return step{again: true, err: unknown}
 	}
@@ -182,7 +187,9 @@
 	if p != nil {
 		w.last.Title, w.last.Detail, w.last.Event = p.Title, p.Detail, p.Event
 	}
-	final := r.status < serverErrorStatus || w.req.Key != "" && !w.req.repeatable()
+	ownKey := w.req.Key != "" && !w.req.repeatable()
+	unbound := p != nil && p.Type == unboundKey
+	final := r.status < serverErrorStatus || ownKey && !unbound
 	return step{again: !final, err: w.giveUp(step{}), after: after}
 }
 
--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -17,9 +17,11 @@
 	KeyHeader      = "Idempotency-Key"
 	PriorityHeader = "Priority"
 	OutcomeHeader  = "Jujubestile-Outcome"
-	// AttemptHeader carries the caller's attempt number. It is passed on to
-	// the endpoint.
+	// AttemptHeader carries the caller's attempt number, from 1. It is passed
+	// on to the endpoint. A caller that sends 1 states that it has not sent
+	// the key before.
 	AttemptHeader = "Jujubestile-Attempt"
+	firstAttempt  = "1"
 )
 
 // parseKey reads an Idempotency-Key field: a string of structured fields in
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -18,8 +18,9 @@
 	Title  string `json:"title"`
 	Status int    `json:"status"`
 	Detail string `json:"detail,omitempty"`
-	// Outcome is what is known of the request under its key. Not-run is final
-	// for a key of the system's form: send the work again with a new key.
+	// Outcome is what is known of the request under its key. Not-run is final:
+	// send the work again with a new key. Only a key of the caller's own form
+	// that could not be bound (type unbound) may be sent again itself.
 	Outcome model.Outcome `json:"outcome"`
 	// KeyPrefix is the prefix for the next key at this instance.
 	KeyPrefix string `json:"key_prefix,omitempty"`
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -49,7 +49,7 @@
 	claim, recorded, err := h.cfg.Ledger.Begin(ctx, req.Key, fp)
 	switch {
 	case err != nil:
-		h.writeProblem(w, h.refusal(err))
+		h.writeProblem(w, h.refusal(r, err))
 	case recorded != nil:
 		h.replay(w, r, recorded)
 	default:
@@ -61,10 +61,14 @@
 	}
 }
 
-func (h *Handler) refusal(err error) *Problem {
+func (h *Handler) refusal(r *http.Request, err error) *Problem {
 	var refusal *ledger.Refusal
 	if errors.As(err, &refusal) {
-		return refusalProblem(refusal)
+		p := refusalProblem(refusal)
+		if refusal.NoBinding && r.Header.Get(AttemptHeader) == firstAttempt {
+			p.Outcome = model.OutcomeNotRun
+		}
+		return p
 	}
 	return newProblem(http.StatusInternalServerError, "internal", "Internal error", model.OutcomeUnknown)
 }
--- a/internal/ledger/bind.go
+++ b/internal/ledger/bind.go
@@ -11,7 +11,6 @@
 	"github.com/juju/errors"
 	"golang.org/x/time/rate"
 
-	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/store"
 )
 
@@ -72,33 +71,30 @@
 	}
 }
 
-// bind returns the bound key that stands for the caller's key. Without one it
-// returns a result or a refusal; "not run" then holds until the caller sends
-// the key again.
-func (b *binder) bind(ctx context.Context, key string, lookup bool) (Key, *Result, error) {
+// bind returns the bound key that stands for the caller's key.
+func (b *binder) bind(ctx context.Context, key string) (Key, error) {
 	id := IDOf(key)
 	if k, ok := b.cached(id); ok {
-		return k, nil, nil
+		return k, nil
 	}
 	if b.l.cfg.Store == nil {
-		return Key{}, nil, refuse(ReasonUnbound)
-	}
-	k, found, err := b.fromStore(ctx, id, lookup)
-	if err != nil {
-		return Key{}, nil, refuse(ReasonUnbound)
+		return Key{}, refuse(ReasonUnbound)
 	}
-	if !found {
-		return Key{}, nil, &Refusal{Reason: ReasonUnbound, Outcome: model.OutcomeNotRun}
+	k, found, err := b.fromStore(ctx, id)
+	if err != nil || !found {
+		refusal := refuse(ReasonUnbound)
+		refusal.NoBinding = err == nil
+		return Key{}, refusal
 	}
 	b.remember(id, k)
-	return k, nil, nil
+	return k, nil
 }
 
-// fromStore creates the binding, or only reads it for a lookup or when the
-// write budget is spent.
-func (b *binder) fromStore(ctx context.Context, id ID, lookup bool) (Key, bool, error) {
+// fromStore creates the binding, or only reads it when the write budget is
+// spent.
+func (b *binder) fromStore(ctx context.Context, id ID) (Key, bool, error) {
 	storeKey := bindingPrefix + hex.EncodeToString(id[:])
-	if lookup || !b.writes.Allow() {
+	if !b.writes.Allow() {
 		if !b.reads.Allow() {
 			return Key{}, false, errors.Trace(store.ErrUnavailable)
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -123,9 +123,9 @@
 	return l.resolve(ctx, key, fingerprint, false)
 }
 
-// Lookup tells what became of a key. A key of the system's form that has not
-// run is closed, so that the result "not run" is final. A key of the caller's
-// own form without a binding is reported as not run without being closed.
+// Lookup tells what became of a key. A key that has not run is closed, so that
+// the result "not run" is final: for a key of the caller's own form until its
+// binding ends, 20 to 26 minutes after it was first seen.
 func (l *Ledger) Lookup(ctx context.Context, key string) (*Result, error) {
 	_, res, err := l.resolve(ctx, key, 0, true)
 	return res, err
@@ -145,9 +145,9 @@
 	}
 	k, ok := ParseKey(key)
 	if !ok {
-		bound, res, err := l.binder.bind(ctx, key, lookup)
-		if res != nil || err != nil {
-			return nil, res, err
+		bound, err := l.binder.bind(ctx, key)
+		if err != nil {
+			return nil, nil, err
 		}
 		k = bound
 	}
--- a/internal/ledger/refusal.go
+++ b/internal/ledger/refusal.go
@@ -30,6 +30,11 @@
 type Refusal struct {
 	Reason  Reason
 	Outcome model.Outcome
+	// NoBinding means that a key of the caller's own form had no binding in
+	// the store. The request has then not run if the caller has sent the key
+	// only once; an earlier request with it may still be on its way to another
+	// instance.
+	NoBinding bool
 }
 
 func (r *Refusal) Error() string {
--- a/internal/ledger/unit_test.go
+++ b/internal/ledger/unit_test.go
@@ -187,7 +187,7 @@
 		for i := range 100 {
 			_, _, err := a.Begin(context.Background(), fmt.Sprint("flood", i), 1)
 			var r *Refusal
-			if errors.As(err, &r) && r.Reason == ReasonUnbound {
+			if errors.As(err, &r) && r.NoBinding && r.Outcome == model.OutcomeUnknown {
 				refused++
 			}
 		}
@@ -195,10 +195,17 @@
 			t.Errorf("%d writes, want at most %d; %d refused", w.store.writes, most, refused)
 		}
 		time.Sleep(2 * time.Second)
+		// A request with this key is on its way to instance a.
+		if res, err := b.Lookup(context.Background(), "asked-first"); err != nil || res.Outcome != model.OutcomeNotRun {
+			t.Errorf("lookup: %+v %v", res, err)
+		}
+		if _, res, err := a.Begin(context.Background(), "asked-first", 1); err != nil || res == nil || res.Outcome != model.OutcomeNotRun {
+			t.Errorf("after it was reported as not run: %+v %v", res, err)
+		}
 		w.store.down = time.Now().Add(time.Minute)
-		_, _, err := a.Begin(context.Background(), "in an outage", 1)
+		_, _, err := a.Begin(context.Background(), "in-an-outage", 1)
 		var r *Refusal
-		if !errors.As(err, &r) || r.Outcome != model.OutcomeUnknown {
+		if !errors.As(err, &r) || r.Reason != ReasonUnbound || r.NoBinding || r.Outcome != model.OutcomeUnknown {
 			t.Errorf("store down: %v", err)
 		}
 		if _, res, err := a.Begin(context.Background(), "own-key", 1); err != nil || res == nil {
