--- a/internal/ledger/sim_test.go
+++ b/internal/ledger/sim_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -110,9 +111,9 @@
 	if n.w.rng.Float64() < 0.2 {
 		return "", 0, false
 	}
-	for _, id := range []model.InstanceID{"a", "b", "c", "d"} {
+	for _, id := range names {
 		other := n.w.nodes[id]
-		if id == n.id || other == nil || other.dead || n.w.rng.Float64() < 0.5 {
+		if id == n.id || slices.Contains(exclude, id) || other == nil || other.dead || n.w.rng.Float64() < 0.5 {
 			continue
 		}
 		return id, other.inc, true
--- a/internal/ledger/unit_test.go
+++ b/internal/ledger/unit_test.go
@@ -128,6 +128,40 @@
 	})
 }
 
+// Guards against a paused owner that sends after its witness sealed the key, or
+// after the key's epoch has ended, when a key of the caller's own form may
+// already be bound to another instance.
+func TestPausedOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld()
+		a, b := w.node("a").l, w.node("b").l
+		k := Key{Owner: "a", OwnerInc: w.node("a").inc, Witness: "c", WitnessInc: w.node("c").inc, Random: "x"}
+		paused := mustBegin(t, a, k.String())
+		w.cut[[2]model.InstanceID{"b", "a"}] = time.Now().Add(time.Hour)
+		if _, res, err := b.Begin(context.Background(), k.String(), 1); err != nil || res.Outcome != model.OutcomeNotRun {
+			t.Errorf("owner unreachable: %+v %v", res, err)
+		}
+		if err := paused.Intent(context.Background()); !errors.Is(err, ErrKeyClosed) {
+			t.Errorf("intent for a sealed key: %v", err)
+		}
+		old := mustBegin(t, a, "own-key")
+		time.Sleep(epochsKept*epochLength + time.Second)
+		if err := old.Intent(context.Background()); !errors.Is(err, ErrKeyClosed) {
+			t.Errorf("intent after the epoch: %v", err)
+		}
+		k.Random = "y"
+		k.Epoch = a.book.own().epoch
+		w.nodes["c"].dead = true
+		lost := mustBegin(t, a, k.String())
+		if err := lost.Intent(context.Background()); !errors.Is(err, ErrWitnessUnreachable) {
+			t.Errorf("witness gone: %v", err)
+		}
+		if p, _ := ParseKey(a.Prefix() + "z"); p.Witness == "c" {
+			t.Error("keys with an unreachable witness are handed out")
+		}
+	})
+}
+
 // Guards against losing recorded outcomes on a planned stop, and against the
 // stopped instance or a second successor taking keys again.
 func TestHandOver(t *testing.T) {
@@ -169,6 +203,15 @@
 		if _, _, err := b.Begin(context.Background(), keys[0], 1); reasonOf(err) != ReasonHolderLost {
 			t.Errorf("after the retention: %v", err)
 		}
+		late := &InheritArgs{From: source{"a", w.node("a").inc}, To: source{"b", w.node("b").inc}, Final: true}
+		if err := b.Service().Inherit(late, &InheritReply{}); err == nil {
+			t.Error("a discarded set was inherited again")
+		}
+		late.From.Inc++
+		late.To.Inc--
+		if err := b.Service().Inherit(late, &InheritReply{}); err == nil {
+			t.Error("a handover to an earlier incarnation was taken")
+		}
 	})
 }
 
