transport: notice a response to another request

HTTP/1.1 matches responses by their order. An endpoint that sends a response twice, or late, on a pooled connection would give it to the next caller. Endpoints that repeat the Jujubestile-Request field let that be noticed; ruled out: one connection for each request, which costs 1 ms for every lookup.

--- a/internal/ledger/unit_test.go
+++ b/internal/ledger/unit_test.go
@@ -125,6 +125,13 @@
 		if _, _, err := a.Begin(context.Background(), first, 1); reasonOf(err) != ReasonExpired {
 			t.Errorf("discarded record: %v", err)
 		}
+		prefix := a.Prefix()
+		for i := range 2000 {
+			_, _, err := a.Begin(context.Background(), fmt.Sprint(prefix, "same", i), 1)
+			if n := a.book.own().size(); n > 400 || err != nil && reasonOf(err) != ReasonExpired {
+				t.Fatalf("keys of one epoch: %d records, %v", n, err)
+			}
+		}
 	})
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,6 +12,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"io"
 	"net"
 	"net/http"
@@ -57,6 +58,12 @@
 	// MaxRequestBytes bounds a request body.
 	MaxRequestBytes        = 1 << 20
 	maxResponseHeaderBytes = 64 << 10
+
+	// RequestHeader carries an identifier of the exchange. HTTP/1.1 matches
+	// responses to requests only by their order on a connection. An endpoint
+	// that repeats the field in its response lets a response be noticed that
+	// belongs to an earlier request on a pooled connection.
+	RequestHeader = "Jujubestile-Request"
 )
 
 // Transport implements dispatch.Transport.
@@ -118,6 +125,8 @@
 	// Broken means that the endpoint ended the connection before its response
 	// was complete, as it does when it crashes.
 	Broken bool
+	// Mismatch means that the response belongs to another request.
+	Mismatch bool
 	// RetryAfter is the endpoint's wish if Kind is ErrRefused.
 	RetryAfter time.Duration
 }
@@ -132,6 +141,7 @@
 	errNoEnd      = errors.ConstError("response without a length, which may be cut off")
 	errSilent     = errors.ConstError("no sign of life on the connection")
 	errSwitching  = errors.ConstError("endpoint switched protocols")
+	errMismatch   = errors.ConstError("response to another request")
 	errStatus     = errors.ConstError("status outside 200 to 599")
 	errOverloaded = errors.ConstError("status 503 with Retry-After")
 )
@@ -139,6 +149,7 @@
 // exchange is the state of one Send.
 type exchange struct {
 	req     *dispatch.Request
+	id      string
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	timer   *time.Timer
@@ -165,14 +176,14 @@
 	}
 	resp, err := x.roundTrip(carrier, req)
 	var e *Error
-	if r.Repeatable && errors.As(err, &e) && e.Silent {
+	if r.Repeatable && errors.As(err, &e) && (e.Silent || e.Mismatch) {
 		t.pools.drop(to.ID, carrier)
 	}
 	return resp, err
 }
 
 func (t *Transport) newExchange(ctx context.Context, r *dispatch.Request) *exchange {
-	x := &exchange{req: r}
+	x := &exchange{req: r, id: rand.Text()}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	if r.Repeatable {
 		x.silence = t.cfg.SilenceTimeout
@@ -229,6 +240,7 @@
 	if deadline, ok := x.ctx.Deadline(); ok {
 		req.Header.Set(model.TimeoutHeader, model.FormatTimeout(time.Until(deadline)))
 	}
+	req.Header.Set(RequestHeader, x.id)
 	req.Body = onceBody{bytes.NewReader(x.req.Body)}
 	req.ContentLength = int64(len(x.req.Body))
 	return req, nil
@@ -241,6 +253,9 @@
 	}
 	defer resp.Body.Close()
 	x.alive()
+	if id := resp.Header.Get(RequestHeader); id != "" && id != x.id {
+		return nil, &Error{Kind: dispatch.ErrInterrupted, Cause: errMismatch, Reused: x.reused.Load(), Mismatch: true}
+	}
 	if after, ok := RetryAfter(resp.Header, time.Now()); ok && resp.StatusCode == http.StatusServiceUnavailable {
 		return nil, &Error{Kind: dispatch.ErrRefused, Cause: errOverloaded, RetryAfter: after}
 	}
@@ -248,8 +263,9 @@
 	if err != nil {
 		return nil, x.failed(err)
 	}
-	out := &dispatch.Response{Status: resp.StatusCode, Header: Forwarded(resp.Header), Body: body}
-	return out, nil
+	header := Forwarded(resp.Header)
+	header.Del(RequestHeader)
+	return &dispatch.Response{Status: resp.StatusCode, Header: header, Body: body}, nil
 }
 
 // failed classifies an error. Nothing was sent if no connection was had.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -142,6 +142,28 @@
 	}
 }
 
+// Guards against giving a caller the late response to an earlier request on the
+// same connection.
+func TestResponseToAnotherRequest(t *testing.T) {
+	earlier := ""
+	to, _ := rawEndpoint(t, func(c net.Conn, n int, r *http.Request) bool {
+		id := r.Header.Get(RequestHeader)
+		if earlier != "" && n > 0 {
+			id = earlier
+		}
+		earlier = id
+		return respond(c, "HTTP/1.1 200 OK\r\n"+RequestHeader+": "+id+"\r\nContent-Length: 2\r\n\r\nok")
+	})
+	tr := New(Config{})
+	defer tr.Close()
+	get := dispatch.Request{Method: "GET", Path: "/", Repeatable: true}
+	for i, want := range []error{nil, dispatch.ErrInterrupted, nil} {
+		if _, err := send(tr, to, get); !errors.Is(err, want) {
+			t.Errorf("request %d: %v, want %v", i, err, want)
+		}
+	}
+}
+
 // Guards against calling a request sent, and so unknown, when no connection
 // was had.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
