--- a/internal/ledger/unit_test.go
+++ b/internal/ledger/unit_test.go
@@ -125,6 +125,47 @@
 		if _, _, err := a.Begin(context.Background(), first, 1); reasonOf(err) != ReasonExpired {
 			t.Errorf("discarded record: %v", err)
 		}
+		prefix := a.Prefix()
+		for i := range 2000 {
+			_, _, err := a.Begin(context.Background(), fmt.Sprint(prefix, "same", i), 1)
+			if n := a.book.own().size(); n > 400 || err != nil && reasonOf(err) != ReasonExpired {
+				t.Fatalf("keys of one epoch: %d records, %v", n, err)
+			}
+		}
+	})
+}
+
+// Guards against a paused owner that sends after its witness sealed the key, or
+// after the key's epoch has ended, when a key of the caller's own form may
+// already be bound to another instance.
+func TestPausedOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld()
+		a, b := w.node("a").l, w.node("b").l
+		k := Key{Owner: "a", OwnerInc: w.node("a").inc, Witness: "c", WitnessInc: w.node("c").inc, Random: "x"}
+		paused := mustBegin(t, a, k.String())
+		w.cut[[2]model.InstanceID{"b", "a"}] = time.Now().Add(time.Hour)
+		if _, res, err := b.Begin(context.Background(), k.String(), 1); err != nil || res.Outcome != model.OutcomeNotRun {
+			t.Errorf("owner unreachable: %+v %v", res, err)
+		}
+		if err := paused.Intent(context.Background()); !errors.Is(err, ErrKeyClosed) {
+			t.Errorf("intent for a sealed key: %v", err)
+		}
+		old := mustBegin(t, a, "own-key")
+		time.Sleep(epochsKept*epochLength + time.Second)
+		if err := old.Intent(context.Background()); !errors.Is(err, ErrKeyClosed) {
+			t.Errorf("intent after the epoch: %v", err)
+		}
+		k.Random = "y"
+		k.Epoch = a.book.own().epoch
+		w.nodes["c"].dead = true
+		lost := mustBegin(t, a, k.String())
+		if err := lost.Intent(context.Background()); !errors.Is(err, ErrWitnessUnreachable) {
+			t.Errorf("witness gone: %v", err)
+		}
+		if p, _ := ParseKey(a.Prefix() + "z"); p.Witness == "c" {
+			t.Error("keys with an unreachable witness are handed out")
+		}
 	})
 }
 
@@ -169,6 +210,15 @@
 		if _, _, err := b.Begin(context.Background(), keys[0], 1); reasonOf(err) != ReasonHolderLost {
 			t.Errorf("after the retention: %v", err)
 		}
+		late := &InheritArgs{From: source{"a", w.node("a").inc}, To: source{"b", w.node("b").inc}, Final: true}
+		if err := b.Service().Inherit(late, &InheritReply{}); err == nil {
+			t.Error("a discarded set was inherited again")
+		}
+		late.From.Inc++
+		late.To.Inc--
+		if err := b.Service().Inherit(late, &InheritReply{}); err == nil {
+			t.Error("a handover to an earlier incarnation was taken")
+		}
 	})
 }
 
@@ -187,7 +237,7 @@
 		for i := range 100 {
 			_, _, err := a.Begin(context.Background(), fmt.Sprint("flood", i), 1)
 			var r *Refusal
-			if errors.As(err, &r) && r.Reason == ReasonUnbound {
+			if errors.As(err, &r) && r.NoBinding && r.Outcome == model.OutcomeUnknown {
 				refused++
 			}
 		}
@@ -195,10 +245,17 @@
 			t.Errorf("%d writes, want at most %d; %d refused", w.store.writes, most, refused)
 		}
 		time.Sleep(2 * time.Second)
+		// A request with this key is on its way to instance a.
+		if res, err := b.Lookup(context.Background(), "asked-first"); err != nil || res.Outcome != model.OutcomeNotRun {
+			t.Errorf("lookup: %+v %v", res, err)
+		}
+		if _, res, err := a.Begin(context.Background(), "asked-first", 1); err != nil || res == nil || res.Outcome != model.OutcomeNotRun {
+			t.Errorf("after it was reported as not run: %+v %v", res, err)
+		}
 		w.store.down = time.Now().Add(time.Minute)
-		_, _, err := a.Begin(context.Background(), "in an outage", 1)
+		_, _, err := a.Begin(context.Background(), "in-an-outage", 1)
 		var r *Refusal
-		if !errors.As(err, &r) || r.Outcome != model.OutcomeUnknown {
+		if !errors.As(err, &r) || r.Reason != ReasonUnbound || r.NoBinding || r.Outcome != model.OutcomeUnknown {
 			t.Errorf("store down: %v", err)
 		}
 		if _, res, err := a.Begin(context.Background(), "own-key", 1); err != nil || res == nil {
