--- a/internal/capacity/ownership.go
+++ b/internal/capacity/ownership.go
@@ -46,6 +46,9 @@
 
 	caps   map[model.Service]int
 	raised map[model.Service]time.Time
+	// firstRules is when the first rules came. They may be newer than those of
+	// the owners.
+	firstRules time.Time
 	// claimAfter is when the rules are known to be those in effect.
 	claimAfter time.Time
 	// former are the capacities before they were lowered.
@@ -115,7 +118,7 @@
 func (s *State) noteChanges(t time.Time, caps map[model.Service]int) {
 	o := &s.own
 	if o.caps == nil {
-		s.noteFirst(t, caps)
+		o.firstRules = t
 		return
 	}
 	for svc, n := range caps {
@@ -130,17 +133,6 @@
 	}
 }
 
-// noteFirst treats the capacities as just raised if there are owners already,
-// because these may not know the rules yet.
-func (s *State) noteFirst(t time.Time, caps map[model.Service]int) {
-	if s.own.record != nil && len(s.own.record.Holders) == 0 {
-		return
-	}
-	for svc := range caps {
-		s.own.raised[svc] = t
-	}
-}
-
 // setDivisor computes the divisor of the link parts. A lowered capacity counts
 // until a record is known that nobody with the former rules changes any more.
 func (o *ownership) setDivisor() {
--- a/internal/capacity/propose.go
+++ b/internal/capacity/propose.go
@@ -156,6 +156,7 @@
 			continue
 		}
 		i := e.rec.index(k.Service)
+		e.rec.Caps[i] = e.s.own.caps[k.Service]
 		mine := e.rec.Holders[e.s.cfg.Self]
 		mine.set(i, mine.at(i)-n)
 		e.given[k.Service] = n
@@ -195,8 +196,7 @@
 
 func (e *edit) claimService(svc model.Service, unowned int) {
 	o := &e.s.own
-	raised, ok := o.raised[svc]
-	if unowned <= 0 || e.given[svc] > 0 || o.unresolved[svc] > 0 || ok && e.t.Sub(raised) < RaiseDelay {
+	if unowned <= 0 || e.given[svc] > 0 || o.unresolved[svc] > 0 || e.raisedLately(svc) {
 		return
 	}
 	self := e.s.cfg.Self
@@ -214,9 +214,24 @@
 		e.rec.Holders[self] = &Holder{Incarnation: e.s.cfg.Incarnation}
 	}
 	e.rec.Holders[self].set(i, mine+n)
+	e.rec.Caps[i] = o.caps[svc]
 	e.changed = true
 }
 
+// raisedLately reports whether others may not know the capacity yet. An
+// instance that just started compares it with that of the last claim.
+func (e *edit) raisedLately(svc model.Service) bool {
+	o := &e.s.own
+	if raised, ok := o.raised[svc]; ok && e.t.Sub(raised) < RaiseDelay {
+		return true
+	}
+	if len(o.record.Holders) == 0 || e.t.Sub(o.firstRules) >= RaiseDelay {
+		return false
+	}
+	i := o.record.index(svc)
+	return i < 0 || o.record.Caps[i] < o.caps[svc]
+}
+
 // fair returns the instance's part of a service's slots. The parts of all
 // members sum to the capacity; who gets the remainder differs by service.
 func (s *State) fair(svc model.Service) int {
--- a/internal/capacity/record.go
+++ b/internal/capacity/record.go
@@ -21,8 +21,11 @@
 	Version uint64 `json:"version"`
 	// Services gives the meaning of the positions in Holder.Slots. It is
 	// sorted.
-	Services []model.Service              `json:"services"`
-	Holders  map[model.InstanceID]*Holder `json:"holders"`
+	Services []model.Service `json:"services"`
+	// Caps are the capacities by which the last change of each service was
+	// made.
+	Caps    []int                        `json:"caps"`
+	Holders map[model.InstanceID]*Holder `json:"holders"`
 }
 
 // Holder is the entry of one owner.
@@ -48,6 +51,9 @@
 	if r.Holders == nil {
 		r.Holders = make(map[model.InstanceID]*Holder)
 	}
+	if len(r.Caps) != len(r.Services) || !slices.IsSorted(r.Services) {
+		return nil, errors.NotValidf("root record: services")
+	}
 	for id, h := range r.Holders {
 		if h == nil || len(h.Slots) > len(r.Services) || slices.ContainsFunc(h.Slots, negative) {
 			return nil, errors.NotValidf("root record: holder %q", id)
@@ -67,7 +73,7 @@
 
 // clone returns a deep copy.
 func (r *Record) clone() *Record {
-	c := &Record{Version: r.Version, Services: slices.Clone(r.Services)}
+	c := &Record{Version: r.Version, Services: slices.Clone(r.Services), Caps: slices.Clone(r.Caps)}
 	c.Holders = make(map[model.InstanceID]*Holder, len(r.Holders))
 	for id, h := range r.Holders {
 		c.Holders[id] = &Holder{Incarnation: h.Incarnation, Slots: slices.Clone(h.Slots), Missing: h.Missing}
@@ -115,6 +121,7 @@
 		return i
 	}
 	r.Services = slices.Insert(r.Services, i, svc)
+	r.Caps = slices.Insert(r.Caps, i, 0)
 	for _, h := range r.Holders {
 		if i < len(h.Slots) {
 			h.Slots = slices.Insert(h.Slots, i, 0)
