capacity: test the driver in a cluster of 20; lend for urgent requests

In a trial with 20 instances and 16 slots under an overload of bulk requests, 0.828 of the slots were in use and urgent requests of instances without a slot waited for over 2 s. Causes: a slot kept for a peer idled until the peer asked again, idle loans near their end were kept, loans made under contention lasted the whole term, and bulk requests used up the messages. A message of a peer without slots now waits up to 200 ms for the next free one, such a loan is used for 1 s, and messages are kept for urgent requests.

--- a/internal/capacity/borrow.go
+++ b/internal/capacity/borrow.go
@@ -14,6 +14,8 @@
 	// that requests can use the loan without a break.
 	renewBefore = 7 * time.Second
 	// returnAfter is how long slots of a loan are idle before they go back.
+	// Near the end of a loan they are idle although requests wait, because the
+	// deadlines are after it.
 	returnAfter = 300 * time.Millisecond
 	// idleFresh is how long a peer's report of idle slots is believed.
 	idleFresh = time.Second
@@ -37,6 +39,8 @@
 	used   int
 	// end is when the last request on the loan ends.
 	end time.Time
+	// useUntil is when the last request on the loan starts, if not zero.
+	useUntil time.Time
 	// busy is when all slots of the loan were last in use.
 	busy time.Time
 	// asked is when a renewal was last asked for.
@@ -73,6 +77,9 @@
 type refusal struct {
 	wait  time.Duration
 	until time.Time
+	// priority is that of the refused request. A more urgent one does not
+	// wait.
+	priority model.Priority
 }
 
 type idleCount struct {
@@ -188,11 +195,11 @@
 		if l.used == l.count {
 			l.busy = t
 		}
-		if l.used < l.count && t.Sub(l.busy) >= returnAfter && !p.load.unmet(t) {
+		if l.used < l.count && (l.over(t) || t.Sub(l.busy) >= returnAfter) {
 			l.count = l.used
 			addReturn(returns, l)
 		}
-		if l.count > 0 && l.end.Sub(t) < renewBefore && t.Sub(l.asked) >= time.Second && s.dem.tokens >= 1 {
+		if l.count > 0 && l.useUntil.IsZero() && l.end.Sub(t) < renewBefore && t.Sub(l.asked) >= time.Second && s.dem.tokens >= 1 {
 			l.asked = t
 			a := askOf(asks, l.lender)
 			a.Renew = append(a.Renew, l.id)
@@ -201,6 +208,16 @@
 	p.loans = slices.DeleteFunc(p.loans, func(l *loanIn) bool { return l.count == 0 })
 }
 
+// over reports whether no more requests start on the loan.
+func (l *loanIn) over(t time.Time) bool {
+	return !l.useUntil.IsZero() && !t.Before(l.useUntil)
+}
+
+// fits reports whether a request that ends at end may use a slot of the loan.
+func (l *loanIn) fits(t, end time.Time) bool {
+	return l.used < l.count && !end.After(l.end) && !l.over(t)
+}
+
 func addReturn(returns map[model.InstanceID]*ReturnArgs, l *loanIn) {
 	r := returns[l.lender]
 	if r == nil {
@@ -261,7 +278,7 @@
 	have := s.usable(p, t)
 	left := p.load.want
 	for i, id := range lenders {
-		if i == maxAsks || s.dem.tokens-float64(len(asks)) < 1 {
+		if i == maxAsks || s.dem.tokens-float64(len(asks)) < 1+reserved(p.load.priority(t)) {
 			return
 		}
 		n := max(ceilDiv(p.load.want, 2), 1)
@@ -271,7 +288,7 @@
 		}
 		a := askOf(asks, id)
 		if len(a.Want) < maxItems {
-			a.Want = append(a.Want, Want{Key: p.key, Count: n, Have: have, Priority: p.load.priority})
+			a.Want = append(a.Want, Want{Key: p.key, Count: n, Have: have, Priority: p.load.priority(t)})
 			s.dem.asking[lenderKey{id, p.key}] = true
 		}
 		if left -= known; left <= 0 {
@@ -280,6 +297,19 @@
 	}
 }
 
+// reserved returns how many messages requests of the priority leave to more
+// urgent ones. Without that, urgent requests of instances without a slot waited
+// for 870 ms in an overload of bulk requests.
+func reserved(pr model.Priority) float64 {
+	switch pr {
+	case model.PriorityCritical:
+		return 0
+	case model.PriorityNormal:
+		return askBurst / 4
+	}
+	return askBurst / 2
+}
+
 // lenders returns the peers to ask for slots, the best first: those known to
 // have idle slots, then those in the own failure domain, else in random order.
 func (s *State) lenders(t time.Time, k Key) []model.InstanceID {
@@ -306,7 +336,7 @@
 // the root record says who owns any.
 func (s *State) mayAsk(t time.Time, id model.InstanceID, k Key) bool {
 	lk := lenderKey{id, k}
-	if s.dem.asking[lk] || t.Before(s.dem.refused[lk].until) {
+	if s.dem.asking[lk] || s.refuses(t, lk) {
 		return false
 	}
 	o := &s.own
@@ -316,6 +346,11 @@
 	return o.record.Holders[id].at(o.record.index(k.Service)) > 0
 }
 
+func (s *State) refuses(t time.Time, lk lenderKey) bool {
+	r := s.dem.refused[lk]
+	return t.Before(r.until) && s.pool(lk.key).load.priority(t) >= r.priority
+}
+
 // Borrowed takes a peer's answer, or no answer if reply is nil.
 func (s *State) Borrowed(now time.Time, a Ask, reply *BorrowReply) {
 	s.mu.Lock()
@@ -336,7 +371,7 @@
 	s.renewed(a, reply.Renewed)
 	s.learnIdle(t, a.To, reply.Idle)
 	for _, w := range a.Args.Want {
-		s.answered(t, lenderKey{a.To, w.Key}, got[w.Key] > 0)
+		s.answered(t, lenderKey{a.To, w.Key}, w.Priority, got[w.Key] > 0)
 	}
 }
 
@@ -352,7 +387,11 @@
 		return false
 	}
 	p := s.pool(l.Key)
-	p.loans = append(p.loans, &loanIn{id: l.ID, lender: a.To, count: l.Count, end: end, busy: t})
+	in := &loanIn{id: l.ID, lender: a.To, count: l.Count, end: end, busy: t}
+	if l.Use > 0 {
+		in.useUntil = a.began.Add(l.Use)
+	}
+	p.loans = append(p.loans, in)
 	s.dem.nextExpiry = earlier(s.dem.nextExpiry, end)
 	s.freed(l.Key.Service)
 	return true
@@ -392,13 +431,14 @@
 
 // answered notes whether a peer lent. One that did not is asked again after a
 // wait that doubles, with jitter.
-func (s *State) answered(t time.Time, lk lenderKey, lent bool) {
+func (s *State) answered(t time.Time, lk lenderKey, pr model.Priority, lent bool) {
 	delete(s.dem.asking, lk)
 	if lent {
 		delete(s.dem.refused, lk)
 		return
 	}
 	r := s.dem.refused[lk]
+	r.priority = pr
 	r.wait = min(max(2*r.wait, refusedMin), refusedMax)
 	r.until = t.Add(r.wait/2 + time.Duration(s.cfg.Rand.Int64N(int64(r.wait))))
 	s.dem.refused[lk] = r
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -228,7 +228,7 @@
 		return &Slot{state: s, pool: p, end: end}
 	}
 	for _, l := range p.loans {
-		if l.used < l.count && !end.After(l.end) {
+		if l.fits(t, end) {
 			l.used++
 			return &Slot{state: s, pool: p, loan: l, end: end}
 		}
@@ -264,7 +264,7 @@
 		n = max(p.free(), 0)
 	}
 	for _, l := range p.loans {
-		if !end.After(l.end) {
+		if l.fits(t, end) {
 			n += l.count - l.used
 		}
 	}
@@ -289,7 +289,9 @@
 		n = max(p.owned-p.withheld-p.lent, 0)
 	}
 	for _, l := range p.loans {
-		n += l.count
+		if !l.over(t) {
+			n += l.count
+		}
 	}
 	return n
 }
--- /dev/null
+++ b/internal/capacity/driver_test.go
@@ -0,0 +1,316 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/peer"
+	"jujubestile.example/jujubestile/internal/rules"
+	"jujubestile.example/jujubestile/internal/store"
+)
+
+// memStore is the store's root record in memory. It counts calls.
+type memStore struct {
+	store.Store
+	mu            sync.Mutex
+	kv            store.KeyValue
+	reads, writes atomic.Int64
+	down          bool
+	// loseNext is how many of the next writes take effect without a response.
+	loseNext int
+}
+
+func (m *memStore) Get(context.Context, string) (store.KeyValue, error) {
+	time.Sleep(3 * time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads.Add(1)
+	if m.down {
+		return store.KeyValue{}, store.ErrUnavailable
+	}
+	if m.kv.Revision == store.Absent {
+		return store.KeyValue{}, errors.Annotate(store.ErrNotFound, "root record")
+	}
+	return m.kv, nil
+}
+
+func (m *memStore) CompareAndSwap(_ context.Context, key string, expected store.Revision, value []byte, _ store.LeaseID) (store.SwapResult, error) {
+	time.Sleep(3 * time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.writes.Add(1)
+	if m.down {
+		return store.SwapResult{}, store.ErrUnavailable
+	}
+	swapped := expected == m.kv.Revision
+	if swapped {
+		m.kv = store.KeyValue{Key: key, Value: value, Revision: expected + 1}
+	}
+	if swapped && m.loseNext > 0 {
+		m.loseNext--
+		return store.SwapResult{}, store.ErrUnavailable
+	}
+	return store.SwapResult{Swapped: swapped, Current: m.kv}, nil
+}
+
+// cluster is several drivers in one process.
+type cluster struct {
+	store  *memStore
+	rtt    time.Duration
+	states []*State
+	rpcs   map[model.InstanceID]*RPC
+	peers  []Peer
+	ids    []model.InstanceID
+	calls  atomic.Int64
+	freed  []chan struct{}
+	// urgent counts the urgent requests that wait at each instance.
+	urgent []atomic.Int32
+}
+
+// Call encodes what a real call encodes.
+func (c *cluster) Call(ctx context.Context, to model.InstanceID, method string, args, reply any) error {
+	time.Sleep(c.rtt)
+	c.calls.Add(1)
+	r := c.rpcs[to]
+	switch method {
+	case MethodBorrow:
+		var a BorrowArgs
+		var out BorrowReply
+		recode(args, &a)
+		err := r.Borrow(a, &out)
+		recode(out, reply)
+		return err
+	case MethodReturn:
+		var a ReturnArgs
+		recode(args, &a)
+		return r.Return(a, &ReturnReply{})
+	}
+	return peer.ErrUnreachable
+}
+
+func recode(from, to any) {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(from); err != nil {
+		panic(err)
+	}
+	if err := gob.NewDecoder(&b).Decode(to); err != nil {
+		panic(err)
+	}
+}
+
+func (c *cluster) Peers() []Peer { return c.peers }
+
+func (c *cluster) Listing() ([]model.InstanceID, time.Time, bool) {
+	return c.ids, time.Now().Truncate(5 * time.Second), true
+}
+
+// run starts n instances with the given slots and runs f when the record has
+// settled.
+func runCluster(t *testing.T, n, slots int, f func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &cluster{store: &memStore{}, rtt: 3 * time.Millisecond, rpcs: map[model.InstanceID]*RPC{}, urgent: make([]atomic.Int32, n)}
+		set := &rules.Set{Capacity: map[Key]int{testKey: slots}}
+		var drivers []*Driver
+		for i := range n {
+			id := model.InstanceID(fmt.Sprint("i", i))
+			c.ids = append(c.ids, id)
+			c.peers = append(c.peers, Peer{ID: id, Region: "a", Domain: model.Domain(fmt.Sprint("a", i%2))})
+			freed := make(chan struct{}, 1)
+			c.freed = append(c.freed, freed)
+			cfg := Config{Self: id, Incarnation: 1, Region: "a", Rand: rand.New(rand.NewPCG(uint64(i), 1)), Freed: func(model.Service) {
+				select {
+				case freed <- struct{}{}:
+				default:
+				}
+			}}
+			s, d := NewDriver(cfg, DriverConfig{Store: c.store, Caller: c, Members: c, Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(uint64(i), 2))})
+			s.SetRules(time.Now(), set)
+			c.states = append(c.states, s)
+			c.rpcs[id] = NewRPC(s)
+			drivers = append(drivers, d)
+		}
+		for _, d := range drivers {
+			d.Start(ctx)
+		}
+		time.Sleep(40 * time.Second)
+		f(c)
+		cancel()
+		for _, d := range drivers {
+			<-d.Done()
+		}
+	})
+}
+
+var testKey = Key{Region: "a", Service: "entries"}
+
+// acquire takes a slot as a queue does: it tries again when one may be free,
+// and urgent requests go first.
+func (c *cluster) acquire(i int, pr model.Priority, wait time.Duration) *Slot {
+	end := time.Now().Add(wait)
+	if pr == model.PriorityCritical {
+		c.urgent[i].Add(1)
+		defer c.urgent[i].Add(-1)
+	}
+	for time.Now().Before(end) {
+		now := time.Now()
+		if pr != model.PriorityCritical && c.urgent[i].Load() > 0 {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		if s := c.states[i].Take(now, testKey, pr, now.Add(2*time.Second)); s != nil {
+			return s
+		}
+		c.states[i].Need(now, testKey, pr, false)
+		select {
+		case <-c.freed[i]:
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// Guards against slots that do not get to where a burst is: one instance of 20
+// uses nearly all 16 slots within 300 ms, and they go back after it.
+func TestBurstGetsSlotsOfOthers(t *testing.T) {
+	runCluster(t, 20, 16, func(c *cluster) {
+		start := time.Now()
+		var got []*Slot
+		for time.Since(start) < 300*time.Millisecond {
+			if s := c.acquire(7, model.PriorityNormal, 20*time.Millisecond); s != nil {
+				got = append(got, s)
+			}
+		}
+		t.Logf("%d slots, %d calls", len(got), c.calls.Load())
+		if len(got) < 15 {
+			t.Errorf("%d of 16 slots after 300 ms", len(got))
+		}
+		for _, s := range got {
+			s.Release()
+		}
+		time.Sleep(time.Second)
+		if n := c.states[7].Usable(time.Now(), testKey); n > 1 {
+			t.Errorf("%d slots kept after the burst", n)
+		}
+	})
+}
+
+// Guards against store calls beyond the budget in a quiet time: one read per
+// instance in 10 s and no write, and no calls between instances.
+func TestQuietClusterCostsOneReadPer10s(t *testing.T) {
+	runCluster(t, 20, 16, func(c *cluster) {
+		time.Sleep(3 * time.Minute)
+		s := c.store
+		reads, writes, calls := s.reads.Load(), s.writes.Load(), c.calls.Load()
+		time.Sleep(5 * time.Minute)
+		if n := s.reads.Load() - reads; n > 20*30 || n < 20*25 {
+			t.Errorf("%d reads of 20 instances in 5 min", n)
+		}
+		if s.writes.Load() != writes || c.calls.Load() != calls {
+			t.Errorf("%d writes and %d calls in a quiet time", s.writes.Load()-writes, c.calls.Load()-calls)
+		}
+	})
+}
+
+// Guards against a lost response of a write that leaves slots without use, and
+// against a store outage that stops admission.
+func TestLostWriteAndStoreOutage(t *testing.T) {
+	runCluster(t, 4, 16, func(c *cluster) {
+		set := &rules.Set{Capacity: map[Key]int{testKey: 8}}
+		c.store.mu.Lock()
+		c.store.loseNext = 3
+		c.store.mu.Unlock()
+		for _, s := range c.states {
+			s.SetRules(time.Now(), set)
+		}
+		time.Sleep(30 * time.Second)
+		usable := func() (n int) {
+			for _, s := range c.states {
+				n += s.Usable(time.Now(), testKey)
+			}
+			return n
+		}
+		if n := usable(); n != 8 {
+			t.Errorf("%d slots usable after lost responses, want 8", n)
+		}
+		c.store.mu.Lock()
+		c.store.down = true
+		c.store.mu.Unlock()
+		time.Sleep(time.Hour)
+		if n := usable(); n != 8 {
+			t.Errorf("%d slots usable in a store outage, want 8", n)
+		}
+	})
+}
+
+// overload runs requests of 20 ms at all instances, several at once each, and
+// returns the time that slots were in use as a part of all.
+func (c *cluster) overload(queue, slots int, pr model.Priority, d time.Duration) float64 {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var used time.Duration
+	end := time.Now().Add(d)
+	for i := range c.states {
+		for range queue {
+			wg.Go(func() {
+				for time.Now().Before(end) {
+					s := c.acquire(i, pr, time.Second)
+					if s == nil {
+						continue
+					}
+					time.Sleep(20 * time.Millisecond)
+					s.Release()
+					mu.Lock()
+					used += 20 * time.Millisecond
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return float64(used) / float64(d) / float64(slots)
+}
+
+// Guards against slots that stay idle in an overload because they were lent to
+// the wrong instance, and against an instance without slots whose urgent
+// requests wait for the bulk requests of the owners.
+func TestOverloadUsesSlots(t *testing.T) {
+	runCluster(t, 20, 16, func(c *cluster) {
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			if part := c.overload(3, 16, model.PriorityBulk, 10*time.Second); part < 0.95 {
+				t.Errorf("%.3f of the slots used in an overload", part)
+			} else {
+				t.Logf("%.3f of the slots used, %d calls", part, c.calls.Load())
+			}
+		})
+		time.Sleep(5 * time.Second)
+		var worst time.Duration
+		for i := range c.states {
+			start := time.Now()
+			s := c.acquire(i, model.PriorityCritical, 2*time.Second)
+			if s == nil {
+				t.Errorf("instance %d: urgent request got no slot in 2 s", i)
+				continue
+			}
+			worst = max(worst, time.Since(start))
+			s.Release()
+		}
+		if t.Logf("urgent requests waited up to %v", worst); worst > time.Second {
+			t.Errorf("an urgent request waited for %v", worst)
+		}
+		wg.Wait()
+	})
+}
--- a/internal/capacity/lend.go
+++ b/internal/capacity/lend.go
@@ -14,9 +14,13 @@
 	// forcedEvery is the shortest time between two loans that an instance
 	// makes although it could use the slots itself.
 	forcedEvery = time.Second
-	// promiseFor is how long a slot is kept for a borrower that was told to
-	// ask again.
-	promiseFor = 200 * time.Millisecond
+	// forcedUse is how long the borrower uses such a loan. Loans cannot be
+	// recalled, so with the whole term most slots were on loan in an overload
+	// and urgent requests of instances without a slot waited for over 2 s.
+	forcedUse = time.Second
+	// promiseFor is how long a slot is kept for a borrower whose message waits
+	// for it.
+	promiseFor = 3 * waitPoll
 )
 
 // loanOut is a loan to another instance.
@@ -73,9 +77,10 @@
 		s.hint(t, to, w.Key, r)
 		return
 	}
-	n := min(s.lendable(t, p, to, w), w.Count)
-	if n > 0 {
+	if n := min(s.idleSlots(t, p), w.Count); n > 0 {
 		r.Loans = append(r.Loans, s.lend(t, p, to, n))
+	} else if w.Have == 0 && p.load.mayForce(t, to, w.Priority) {
+		s.force(t, p, to, w, r)
 	}
 	if idle := s.idleSlots(t, p); idle > 0 {
 		r.Idle = append(r.Idle, Idle{Instance: s.cfg.Self, Key: w.Key, Count: idle})
@@ -93,22 +98,21 @@
 	return max(p.free()-keep, 0)
 }
 
-// lendable returns how many slots the peer may have. A peer without any slot
-// gets one now and then although the lender could use it, so that its urgent
-// requests are served too.
-func (s *State) lendable(t time.Time, p *pool, to model.InstanceID, w Want) int {
-	if n := s.idleSlots(t, p); n > 0 {
-		return n
-	}
-	if w.Have > 0 || !p.load.mayForce(t, to, w.Priority) {
-		return 0
-	}
-	if p.free() > 0 {
-		p.load.forced(t)
-		return 1
+// force lends one slot, although the lender could use it, to a peer that has
+// none, so that its requests are served too. If all are in use, the next one
+// that becomes free is kept for the peer.
+func (s *State) force(t time.Time, p *pool, to model.InstanceID, w Want, r *BorrowReply) {
+	if p.free() <= 0 {
+		if p.used > 0 {
+			p.load.promise(t, to, w.Priority)
+			r.waiting = append(r.waiting, w)
+		}
+		return
 	}
-	p.load.promise(t, to, w.Priority)
-	return 0
+	p.load.forced(t)
+	l := s.lend(t, p, to, 1)
+	l.Use = forcedUse
+	r.Loans = append(r.Loans, l)
 }
 
 func (s *State) lend(t time.Time, p *pool, to model.InstanceID, n int) Loan {
--- a/internal/capacity/load.go
+++ b/internal/capacity/load.go
@@ -22,11 +22,11 @@
 	cur, prev int
 
 	// misses counts requests that found no slot since the last plan.
-	misses   int
-	missedAt time.Time
+	misses int
+	// missedAt is when the last request of each class found no slot.
+	missedAt [model.PriorityBulk + 1]time.Time
 	// spill means that all of them have another region to go to first.
-	spill    bool
-	priority model.Priority
+	spill bool
 	// want is how many slots the next plan asks for.
 	want int
 
@@ -61,29 +61,40 @@
 }
 
 func (l *load) missed(t time.Time, pr model.Priority, spill bool) {
-	if !l.unmet(t) || pr < l.priority {
-		l.priority = pr
-	}
 	l.spill = spill && (l.misses == 0 || l.spill)
 	l.misses++
-	l.missedAt = t
+	if pr.Valid() {
+		l.missedAt[pr] = t
+	}
 }
 
 // unmet reports whether a request lately found no slot.
 func (l *load) unmet(t time.Time) bool {
-	return !l.missedAt.IsZero() && t.Sub(l.missedAt) < unmetFor
+	return l.priority(t).Valid()
+}
+
+// priority returns the most urgent class that lately found no slot, or one
+// that is not valid.
+func (l *load) priority(t time.Time) model.Priority {
+	for _, pr := range model.Priorities {
+		if at := l.missedAt[pr]; !at.IsZero() && t.Sub(at) < unmetFor {
+			return pr
+		}
+	}
+	return model.PriorityBulk + 1
 }
 
 // mayForce reports whether the peer may get a slot that the instance could
-// use: if the peer's work is at least as urgent, and not too often.
+// use: if the peer's work is more urgent, or as urgent and not too often.
 func (l *load) mayForce(t time.Time, to model.InstanceID, pr model.Priority) bool {
-	if l.unmet(t) && pr > l.priority {
+	if l.unmet(t) && pr > l.priority(t) {
 		return false
 	}
 	if t.Before(l.promisedUntil) && l.promisedTo != to {
 		return false
 	}
-	return l.forcedAt.IsZero() || t.Sub(l.forcedAt) >= forcedEvery
+	moreUrgent := l.unmet(t) && pr < l.priority(t)
+	return moreUrgent || l.forcedAt.IsZero() || t.Sub(l.forcedAt) >= forcedEvery
 }
 
 func (l *load) forced(t time.Time) {
--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"time"
+
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -46,6 +48,8 @@
 	// Idle says how many more slots of the wanted services the lender and
 	// others that it knows of have idle.
 	Idle []Idle
+	// waiting are wants for which the lender keeps the next free slot.
+	waiting []Want
 }
 
 // Loan is a number of slots lent together.
@@ -53,6 +57,9 @@
 	ID    LoanID
 	Key   Key
 	Count int
+	// Use is how long the borrower starts requests on the loan, or 0 for the
+	// whole term. It returns the loan after that.
+	Use time.Duration
 }
 
 // Idle is how many slots an instance could lend.
