--- a/internal/capacity/borrow.go
+++ b/internal/capacity/borrow.go
@@ -17,6 +17,9 @@
 	// Near the end of a loan they are idle although requests wait, because the
 	// deadlines are after it.
 	returnAfter = 300 * time.Millisecond
+	// returnForcedAfter is the same for a loan whose lender has requests that
+	// wait.
+	returnForcedAfter = 30 * time.Millisecond
 	// idleFresh is how long a peer's report of idle slots is believed.
 	idleFresh = time.Second
 	// maxAsks bounds the peers asked at once.
@@ -195,7 +198,7 @@
 		if l.used == l.count {
 			l.busy = t
 		}
-		if l.used < l.count && (l.over(t) || t.Sub(l.busy) >= returnAfter) {
+		if l.used < l.count && t.Sub(l.busy) >= l.keepIdle(t) {
 			l.count = l.used
 			addReturn(returns, l)
 		}
@@ -208,6 +211,17 @@
 	p.loans = slices.DeleteFunc(p.loans, func(l *loanIn) bool { return l.count == 0 })
 }
 
+// keepIdle returns how long idle slots of the loan are kept.
+func (l *loanIn) keepIdle(t time.Time) time.Duration {
+	switch {
+	case l.over(t):
+		return 0
+	case !l.useUntil.IsZero():
+		return returnForcedAfter
+	}
+	return returnAfter
+}
+
 // over reports whether no more requests start on the loan.
 func (l *loanIn) over(t time.Time) bool {
 	return !l.useUntil.IsZero() && !t.Before(l.useUntil)
@@ -276,6 +290,11 @@
 // it, because some have nothing to lend.
 func (s *State) spread(t time.Time, p *pool, lenders []model.InstanceID, asks map[model.InstanceID]*BorrowArgs) {
 	have := s.usable(p, t)
+	if p.load.priority(t) != model.PriorityCritical {
+		// What is lent under contention comes back soon. If owners asked for
+		// a slot in its place, most slots would be on loan.
+		have += p.forced
+	}
 	left := p.load.want
 	for i, id := range lenders {
 		if i == maxAsks || s.dem.tokens-float64(len(asks)) < 1+reserved(p.load.priority(t)) {
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -71,8 +71,8 @@
 	// Freed is called after a slot of the service may have become free. It
 	// must not block or call the State. It may be nil.
 	Freed func(model.Service)
-	// Unmet is called when a request found no slot. It must not block or call
-	// the State. It may be nil.
+	// Unmet is called when a request found no slot, or a loan can go back. It
+	// must not block or call the State. It may be nil.
 	Unmet func()
 }
 
@@ -103,8 +103,10 @@
 	owned, withheld int
 	// used are owned slots in use; lent are owned slots on loan to others.
 	used, lent int
-	loans      []*loanIn
-	load       load
+	// forced are those of them that are lent although requests wait for them.
+	forced int
+	loans  []*loanIn
+	load   load
 }
 
 // New returns the accounts of an instance that starts at now. It owns nothing
--- a/internal/capacity/lend.go
+++ b/internal/capacity/lend.go
@@ -28,6 +28,8 @@
 	pool  *pool
 	to    model.InstanceID
 	count int
+	// forced means that the lender could use the slot itself.
+	forced bool
 	// granted is when the loan was made, end when it ends unless renewed.
 	granted, end time.Time
 }
@@ -111,6 +113,8 @@
 	}
 	p.load.forced(t)
 	l := s.lend(t, p, to, 1)
+	s.out[l.ID].forced = true
+	p.forced++
 	l.Use = forcedUse
 	r.Loans = append(r.Loans, l)
 }
@@ -147,17 +151,21 @@
 		if l == nil || l.to != a.From || k.Count < 0 || k.Count >= l.count {
 			continue
 		}
+		if k.Count == 0 {
+			s.endLoanOut(k.ID, l)
+			continue
+		}
 		l.pool.lent -= l.count - k.Count
 		l.count = k.Count
 		s.freed(l.pool.key.Service)
-		if l.count == 0 {
-			delete(s.out, k.ID)
-		}
 	}
 }
 
 func (s *State) endLoanOut(id LoanID, l *loanOut) {
 	l.pool.lent -= l.count
+	if l.forced {
+		l.pool.forced--
+	}
 	delete(s.out, id)
 	s.freed(l.pool.key.Service)
 }
--- a/internal/capacity/slot.go
+++ b/internal/capacity/slot.go
@@ -50,12 +50,20 @@
 	sl.done = true
 	if sl.loan != nil {
 		sl.loan.used--
+		s.loanIdle(sl.loan)
 	} else {
 		sl.pool.used--
 	}
 	s.freed(sl.pool.key.Service)
 }
 
+// loanIdle has a loan that is over returned without waiting for the next tick.
+func (s *State) loanIdle(l *loanIn) {
+	if l.used == 0 && l.over(s.clk.convert(s.clk.last)) && s.cfg.Unmet != nil {
+		s.cfg.Unmet()
+	}
+}
+
 // timedReleases is a heap of slots by the time of their release.
 type timedReleases []*Slot
 
