--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -71,8 +71,8 @@
 	// Freed is called after a slot of the service may have become free. It
 	// must not block or call the State. It may be nil.
 	Freed func(model.Service)
-	// Unmet is called when a request found no slot. It must not block or call
-	// the State. It may be nil.
+	// Unmet is called when a request found no slot, or a loan can go back. It
+	// must not block or call the State. It may be nil.
 	Unmet func()
 }
 
@@ -103,8 +103,10 @@
 	owned, withheld int
 	// used are owned slots in use; lent are owned slots on loan to others.
 	used, lent int
-	loans      []*loanIn
-	load       load
+	// forced are those of them that are lent although requests wait for them.
+	forced int
+	loans  []*loanIn
+	load   load
 }
 
 // New returns the accounts of an instance that starts at now. It owns nothing
@@ -228,7 +230,7 @@
 		return &Slot{state: s, pool: p, end: end}
 	}
 	for _, l := range p.loans {
-		if l.used < l.count && !end.After(l.end) {
+		if l.fits(t, end) {
 			l.used++
 			return &Slot{state: s, pool: p, loan: l, end: end}
 		}
@@ -264,7 +266,7 @@
 		n = max(p.free(), 0)
 	}
 	for _, l := range p.loans {
-		if !end.After(l.end) {
+		if l.fits(t, end) {
 			n += l.count - l.used
 		}
 	}
@@ -289,7 +291,9 @@
 		n = max(p.owned-p.withheld-p.lent, 0)
 	}
 	for _, l := range p.loans {
-		n += l.count
+		if !l.over(t) {
+			n += l.count
+		}
 	}
 	return n
 }
--- a/internal/capacity/ownership.go
+++ b/internal/capacity/ownership.go
@@ -46,6 +46,9 @@
 
 	caps   map[model.Service]int
 	raised map[model.Service]time.Time
+	// firstRules is when the first rules came. They may be newer than those of
+	// the owners.
+	firstRules time.Time
 	// claimAfter is when the rules are known to be those in effect.
 	claimAfter time.Time
 	// former are the capacities before they were lowered.
@@ -68,8 +71,11 @@
 
 	members []model.InstanceID
 	// joined is when the members last changed.
-	joined  time.Time
-	listed  time.Time
+	joined time.Time
+	listed time.Time
+	// inList is when the instance last saw itself in the list, or zero if it
+	// is missing from the latest reading.
+	inList  time.Time
 	missing map[model.InstanceID]time.Time
 	marks   map[model.InstanceID]mark
 }
@@ -115,7 +121,7 @@
 func (s *State) noteChanges(t time.Time, caps map[model.Service]int) {
 	o := &s.own
 	if o.caps == nil {
-		s.noteFirst(t, caps)
+		o.firstRules = t
 		return
 	}
 	for svc, n := range caps {
@@ -130,17 +136,6 @@
 	}
 }
 
-// noteFirst treats the capacities as just raised if there are owners already,
-// because these may not know the rules yet.
-func (s *State) noteFirst(t time.Time, caps map[model.Service]int) {
-	if s.own.record != nil && len(s.own.record.Holders) == 0 {
-		return
-	}
-	for svc := range caps {
-		s.own.raised[svc] = t
-	}
-}
-
 // setDivisor computes the divisor of the link parts. A lowered capacity counts
 // until a record is known that nobody with the former rules changes any more.
 func (o *ownership) setDivisor() {
@@ -204,6 +199,9 @@
 	o := &s.own
 	if ids[s.cfg.Self] {
 		s.confirm(started, ListLag)
+		o.inList = t
+	} else {
+		o.inList = time.Time{}
 	}
 	if t.Sub(o.listed) > listGap || started.Before(o.pausedAt) {
 		clear(o.missing)
@@ -212,6 +210,15 @@
 	s.noteMissing(t, ids)
 }
 
+// Listing reports whether readings of the platform's list confirm the
+// instance without a break.
+func (s *State) Listing(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.enter(now)
+	return !s.own.inList.IsZero() && t.Sub(s.own.inList) < listGap
+}
+
 func (s *State) noteMissing(t time.Time, ids map[model.InstanceID]bool) {
 	o := &s.own
 	for id := range o.missing {
