--- a/cmd/jujubestiled/run.go
+++ b/cmd/jujubestiled/run.go
@@ -66,7 +66,9 @@
 		log.Log(events.StartFailed).Err(err).Send()
 		return subcommands.ExitFailure
 	}
-	err = daemon.New(s, log, tracer).Run(ctx)
+	d := daemon.New(s, log, tracer)
+	d.PublishVars()
+	err = d.Run(ctx)
 	flush, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	_ = tracer.Close(flush)
--- a/internal/capacity/driver.go
+++ b/internal/capacity/driver.go
@@ -26,8 +26,12 @@
 	// less often, at bytesPerSecond, while the platform's list confirms the
 	// instance: 500 owners of 4 services are 30 KB. Changes of the owners are
 	// then seen later, at the latest after maxReadEvery.
-	readEvery      = 10 * time.Second
-	maxReadEvery   = 10 * time.Minute
+	readEvery    = 10 * time.Second
+	maxReadEvery = 10 * time.Minute
+	// proposeEvery is how often the accounts are asked whether the record
+	// needs a change, which costs no call of the store. With readEvery here, an
+	// instance claimed its first slots up to 10 s after it had its rules.
+	proposeEvery   = 250 * time.Millisecond
 	bytesPerSecond = 1000
 	// storeTimeout bounds one call of the store.
 	storeTimeout = 2 * time.Second
@@ -211,8 +215,13 @@
 		if read {
 			last = time.Now()
 		}
-		d.noteStore(d.exchange(ctx, read))
-		if !sleep(ctx, readEvery+time.Duration(d.rand.Int64N(int64(readEvery/10)))) {
+		err := d.exchange(ctx, read)
+		d.noteStore(err)
+		pause := proposeEvery
+		if err != nil {
+			pause = readEvery
+		}
+		if !sleep(ctx, pause+time.Duration(d.rand.Int64N(int64(pause/10)))) {
 			return
 		}
 	}
--- a/internal/capacity/driver_test.go
+++ b/internal/capacity/driver_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/rs/zerolog"
+	"jujubestile.example/jujubestile/internal/events"
 
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/peer"
@@ -136,7 +136,7 @@
 				default:
 				}
 			}}
-			s, d := NewDriver(cfg, DriverConfig{Store: c.store, Caller: c, Members: c, Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(uint64(i), 2))})
+			s, d := NewDriver(cfg, DriverConfig{Store: c.store, Caller: c, Members: c, Log: events.Nop(), Rand: rand.New(rand.NewPCG(uint64(i), 2))})
 			s.SetRules(time.Now(), set)
 			c.states = append(c.states, s)
 			c.rpcs[id] = NewRPC(s)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"jujubestile.example/jujubestile/internal/entry"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/ledger"
+	"jujubestile.example/jujubestile/internal/lookup"
 	"jujubestile.example/jujubestile/internal/membership"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/peer"
@@ -55,6 +56,7 @@
 	members *membership.Node
 	listing listingCache
 	past    successors
+	notices *membership.Notices
 
 	rules       *configsync.State
 	rulesDriver *configsync.Driver
@@ -73,6 +75,7 @@
 	dispatcher     *dispatch.Dispatcher
 	ledger         *ledger.Ledger
 	entry          *entry.Handler
+	lookups        *lookup.Service
 
 	servers []*http.Server
 	loops   sync.WaitGroup
@@ -145,17 +148,19 @@
 
 func (d *Daemon) buildMembers() {
 	s := d.settings
+	d.notices = membership.NewNotices(d.onNotice)
 	d.members = membership.NewNode(membership.Options{
 		Self: membership.Member{
 			ID: s.Instance, Region: s.Region, Domain: s.Domain, Incarnation: d.incarnation,
 			EntryAddr: s.Listen.Entry, PeerAddr: s.Listen.Peer, ControlAddr: s.Listen.Control,
 		},
-		Caller:    d.pool,
-		Source:    &timedSource{Source: d.source, began: &d.listing.began},
-		Topics:    []membership.Topic{d.rules, d.handover, d.quarantine},
-		Rand:      newRand(),
-		OnListing: d.onListing,
-		OnEvent:   d.membersEvent,
+		Caller:       d.pool,
+		Source:       &timedSource{Source: d.source, began: &d.listing.began},
+		Topics:       []membership.Topic{d.rules, d.handover, d.quarantine, d.notices},
+		ListInterval: time.Duration(s.Platform.Poll),
+		Rand:         newRand(),
+		OnListing:    d.onListing,
+		OnEvent:      d.membersEvent,
 	})
 }
 
@@ -172,11 +177,12 @@
 		Region: d.settings.Region, Admission: d.admission, Balancer: d.balancer,
 		Transport: tracedTransport{d.transport, d.tracer}, Retry: retry.NewPolicy(newRand()), Quarantine: quarantineAdapter{d},
 	})
+	d.lookups = lookup.NewService(d.members.View)
 	d.entry = entry.New(entry.Config{
 		Dispatcher:     dispatcher{d},
 		Ledger:         entry.FromLedger(d.ledger),
 		Classifier:     entry.ByRules(d.rules.Rules),
-		Directory:      directory{d},
+		Directory:      directory{d.lookups},
 		Log:            d.log,
 		DefaultTimeout: time.Duration(d.settings.Requests.DefaultTimeout),
 		MaxTimeout:     time.Duration(d.settings.Requests.MaxTimeout),
@@ -197,8 +203,8 @@
 	<-ctx.Done()
 	err := d.stop()
 	stopWork()
-	d.loops.Wait()
 	d.close()
+	d.loops.Wait()
 	return err
 }
 
@@ -212,7 +218,7 @@
 		return err
 	}
 	d.loop(func() { _ = d.rpc.Serve(peerLn) })
-	if err := d.serve(d.settings.Listen.Entry, entry.NewServer(traced(d.tracer, d.entry))); err != nil {
+	if err := d.serve(d.settings.Listen.Entry, entry.NewServer(traced(d.tracer, d.callersHandler()))); err != nil {
 		return err
 	}
 	if err := d.serve(d.settings.Listen.Control, entry.NewServer(d.controlHandler())); err != nil {
@@ -224,6 +230,7 @@
 	d.loop(func() { d.applyRules(ctx) })
 	d.loop(func() { d.housekeep(ctx) })
 	d.loop(func() { d.probe(ctx) })
+	d.loop(func() { d.expireNotices(ctx) })
 	return nil
 }
 
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -1,20 +1,35 @@
 package daemon
 
 import (
+	"net/http"
 	"net/netip"
 
 	"jujubestile.example/jujubestile/internal/entry"
+	"jujubestile.example/jujubestile/internal/lookup"
 )
 
+// pathEntries is where callers ask for entry instances.
+const pathEntries = "/v1/entries"
+
+// callersHandler serves lookups and requests of callers.
+func (d *Daemon) callersHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == pathEntries && r.Method == http.MethodGet {
+			d.lookups.ServeHTTP(w, r)
+			return
+		}
+		d.entry.ServeHTTP(w, r)
+	})
+}
+
 // directory implements entry.Directory.
-type directory struct{ d *Daemon }
+type directory struct{ lookups *lookup.Service }
 
 // Entries implements entry.Directory.
-func (a directory) Entries(netip.Addr) []entry.Entry {
+func (a directory) Entries(caller netip.Addr) []entry.Entry {
 	var out []entry.Entry
-	for _, s := range a.d.alive() {
+	for _, s := range a.lookups.Directory().Lookup(caller).Entries {
 		out = append(out, entry.Entry{ID: s.ID, Addr: s.EntryAddr, Region: s.Region, KeyPrefix: s.KeyPrefix})
 	}
-	self := a.d.settings
-	return append(out, entry.Entry{ID: self.Instance, Addr: self.Listen.Entry, Region: self.Region, KeyPrefix: a.d.ledger.Prefix()})
+	return out
 }
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/lookup"
 	"jujubestile.example/jujubestile/internal/membership"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
@@ -40,6 +41,7 @@
 	now := time.Now()
 	d.router.SetRules(now, set)
 	d.admission.SetMinimum(set.Minimum)
+	d.lookups.SetRules(set, lookup.Distances{d.settings.Region: d.settings.Distances})
 	d.balancer.SetDrained(now, set.DrainEndpoints, set.DrainDomains)
 	head := d.rules.Head()
 	d.members.SetRulesRevision(head.Revision)
@@ -119,7 +121,8 @@
 
 // IsReady reports whether the instance takes work.
 func (d *Daemon) IsReady() bool {
-	return d.rules.Ready() && d.router.Ready() && d.capacity.Admitting(time.Now())
+	ready, _ := d.readiness()
+	return ready
 }
 
 // noteRegions tells the router which regions have failed: all their instances
@@ -147,6 +150,20 @@
 	d.members.SetLoadClass(d.loadClass())
 }
 
+// expireNotices drops notices of endpoints that are long gone.
+func (d *Daemon) expireNotices(ctx context.Context) {
+	tick := time.NewTicker(time.Minute)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			d.notices.Expire(now)
+		}
+	}
+}
+
 // witnessOf returns the witness's part of a key prefix.
 func witnessOf(prefix string) string {
 	parts := strings.Split(prefix, ".")
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -26,6 +26,9 @@
 	ids     []model.InstanceID
 	at      time.Time
 	failing bool
+	// leaving is what the last reading said of each endpoint. Only the
+	// goroutine that reads the list uses it.
+	leaving map[model.EndpointID]bool
 }
 
 // timedSource notes when each reading of the list begins. Readings do not
@@ -53,10 +56,38 @@
 		return
 	}
 	now := time.Now()
+	d.reportLeaving(now, l.Endpoints)
 	d.balancer.SetEndpoints(now, l.Endpoints)
 	d.balancer.SetInstances(now, len(l.Entries))
 }
 
+// reportLeaving tells the other instances which endpoints have changed between
+// leaving and live since the last reading. The first reading reports those that
+// are leaving: another instance's list may lag behind this one's.
+func (d *Daemon) reportLeaving(now time.Time, endpoints []model.Endpoint) {
+	news := false
+	leaving := make(map[model.EndpointID]bool, len(endpoints))
+	for _, e := range endpoints {
+		leaving[e.ID] = e.Leaving
+		if e.Leaving != d.listing.leaving[e.ID] {
+			news = d.notices.Report(now, e.ID, e.Leaving) || news
+		}
+	}
+	d.listing.leaving = leaving
+	if news {
+		d.members.Notify(d.notices.Name())
+	}
+}
+
+// onNotice takes a leaving endpoint out of use before this instance's own
+// reading of the list shows it.
+func (d *Daemon) onNotice(n membership.Notice) {
+	if n.Leaving {
+		d.balancer.Leave(time.Now(), n.Endpoint)
+		d.log.Log(events.EndpointLeaving).Str("endpoint", string(n.Endpoint)).Send()
+	}
+}
+
 // take keeps a reading and reports whether the list began or ceased to fail.
 func (c *listingCache) take(l platform.Listing, began time.Time, err error) bool {
 	c.mu.Lock()
@@ -94,8 +125,8 @@
 }
 
 // alive returns the other instances that take work.
-func (d *Daemon) alive() []membership.Status {
-	var out []membership.Status
+func (d *Daemon) alive() []*membership.Status {
+	var out []*membership.Status
 	for _, s := range d.members.View().Members {
 		if s.State == membership.StateAlive && s.ID != d.settings.Instance {
 			out = append(out, s)
@@ -134,11 +165,11 @@
 // any. Rendezvous hashing spreads the instances over the peers. With sameFirst
 // a peer of the failure domain is as good as any of the region.
 func (d *Daemon) nearest(exclude []model.InstanceID, sameFirst bool) (model.InstanceID, model.Incarnation, bool) {
-	candidates := slices.DeleteFunc(d.alive(), func(s membership.Status) bool { return slices.Contains(exclude, s.ID) })
+	candidates := slices.DeleteFunc(d.alive(), func(s *membership.Status) bool { return slices.Contains(exclude, s.ID) })
 	if len(candidates) == 0 {
 		return "", 0, false
 	}
-	best := slices.MinFunc(candidates, func(a, b membership.Status) int {
+	best := slices.MinFunc(candidates, func(a, b *membership.Status) int {
 		return cmp.Or(
 			cmp.Compare(d.distance(a, sameFirst), d.distance(b, sameFirst)),
 			cmp.Compare(pairHash(d.settings.Instance, a.ID), pairHash(d.settings.Instance, b.ID)),
@@ -147,7 +178,7 @@
 	return best.ID, best.Incarnation, true
 }
 
-func (d *Daemon) distance(s membership.Status, sameFirst bool) int {
+func (d *Daemon) distance(s *membership.Status, sameFirst bool) int {
 	switch {
 	case s.Region == d.settings.Region && (sameFirst || s.Domain != d.settings.Domain):
 		return 0
@@ -190,7 +221,7 @@
 }
 
 // note takes the successors that members have announced.
-func (p *successors) note(now time.Time, members []membership.Status) {
+func (p *successors) note(now time.Time, members []*membership.Status) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.m == nil {
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -22,18 +22,25 @@
 	d.metrics.attempts.Add(string(r.Service), int64(res.Attempts))
 }
 
-// vars returns the counters for /debug/vars.
+// PublishVars shows the counters at /debug/vars of the control address. It may
+// be called once in a process.
+func (d *Daemon) PublishVars() {
+	for name, v := range d.vars() {
+		expvar.Publish(name, v)
+	}
+}
+
 func (d *Daemon) vars() map[string]expvar.Var {
-	out := map[string]expvar.Var{
+	return map[string]expvar.Var{
 		"requests":    &d.metrics.outcomes,
 		"attempts":    &d.metrics.attempts,
 		"peer_calls":  expvar.Func(func() any { return d.pool.Stats() }),
 		"peer_server": expvar.Func(func() any { return d.rpc.Stats() }),
 		"membership":  expvar.Func(func() any { return d.members.Stats() }),
+		"lookups":     expvar.Func(func() any { return d.lookups.Stats() }),
 		"in_flight":   expvar.Func(func() any { return d.entry.InFlight() }),
 		"admission":   expvar.Func(d.admissionVars),
 	}
-	return out
 }
 
 func (d *Daemon) admissionVars() any {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -43,6 +43,11 @@
 		"None."}
 )
 
+// Events of endpoints.
+var EndpointLeaving = Event{701, "endpoint leaving", zerolog.InfoLevel,
+	"The platform or another instance says that the endpoint is leaving. It gets no new requests.",
+	"None."}
+
 // Events of requests.
 var (
 	RequestNotAnswered = Event{301, "request not run", zerolog.DebugLevel,
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -16,9 +16,14 @@
 
 const (
 	tickInterval = 100 * time.Millisecond
-	// listInterval is the time between readings of the platform's list.
-	listInterval = 5 * time.Second
-	listTimeout  = 4 * time.Second
+	// defaultListInterval is the time between readings of the platform's list.
+	defaultListInterval = time.Second
+	// listReaders is how many instances read the list at that interval. In a
+	// larger fleet all but the relays read it less often, so that the readings
+	// a second do not grow with the fleet; changes of endpoints reach the
+	// others as notices.
+	listReaders = 50
+	listTimeout = 4 * time.Second
 	// viewAge is how old a view may be that lacks changes of records only.
 	viewAge = 100 * time.Millisecond
 )
@@ -31,6 +36,9 @@
 	Caller peer.Caller
 	// Source is the platform's list.
 	Source platform.Source
+	// ListInterval is the time between two readings of the list. Default 1 s:
+	// leaving endpoints are to get no work after 3 s.
+	ListInterval time.Duration
 	// Topics is the news that gossip carries for other packages.
 	Topics []Topic
 	// Rand spreads retries.
@@ -106,6 +114,9 @@
 	if opts.OnListing == nil {
 		opts.OnListing = func(platform.Listing, error) {}
 	}
+	if opts.ListInterval == 0 {
+		opts.ListInterval = defaultListInterval
+	}
 	if opts.OnEvent == nil {
 		opts.OnEvent = func(Event) {}
 	}
--- a/internal/membership/reach.go
+++ b/internal/membership/reach.go
@@ -30,10 +30,19 @@
 func (n *Node) listLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.readList(ctx)
-		sleep(ctx, listInterval)
+		sleep(ctx, n.listPause())
 	}
 }
 
+// listPause is the time to the next reading of the list.
+func (n *Node) listPause() time.Duration {
+	v := n.View()
+	if v.IsRelay() || len(v.Members) <= listReaders {
+		return n.opts.ListInterval
+	}
+	return n.opts.ListInterval * time.Duration(len(v.Members)) / listReaders
+}
+
 func (n *Node) readList(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
