--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"jujubestile.example/jujubestile/internal/configsync"
+	"jujubestile.example/jujubestile/internal/control"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/platform"
 	"jujubestile.example/jujubestile/internal/standin"
@@ -53,7 +54,10 @@
 	storeURL  string
 	listURL   string
 	endpoints []*standin.Endpoint
+	records   []platform.EndpointRecord
 	entries   []*process
+	// rules is the text of the first rules document.
+	rules string
 }
 
 // process is one daemon process.
@@ -68,6 +72,12 @@
 
 var fleetRegions = []model.Region{"lagos", "abuja", "port-harcourt"}
 
+// domainOf spreads the i-th instance or endpoint over the two failure domains of
+// its region.
+func domainOf(r model.Region, i int) model.Domain {
+	return model.Domain(fmt.Sprintf("%s-%c", r, 'a'+i/len(fleetRegions)%2))
+}
+
 func newFleet(t *testing.T, cfg fleetConfig) *fleet {
 	t.Helper()
 	f := &fleet{t: t, kv: standin.NewKV(), platform: standin.NewPlatform()}
@@ -98,7 +108,8 @@
 func (f *fleet) putRules(cfg fleetConfig) {
 	var b strings.Builder
 	for i, r := range fleetRegions {
-		fmt.Fprintf(&b, "region %s %s-a # test\n", r, r)
+		fmt.Fprintf(&b, "region %s %s,%s # test\n", r, domainOf(r, 0), domainOf(r, len(fleetRegions)))
+		fmt.Fprintf(&b, "callers 10.%d.0.0/16 %s # test\n", i+1, r)
 		slots := 4 * ((cfg.endpoints + len(fleetRegions) - 1 - i) / len(fleetRegions))
 		if slots > 0 {
 			fmt.Fprintf(&b, "capacity %s entries %d # test\n", r, slots)
@@ -106,6 +117,7 @@
 	}
 	b.WriteString("service entries priority 1 # test\n")
 	doc := configsync.Document{Head: configsync.Head{Revision: 1, EditID: "first", Author: "test", Time: time.Now()}, Text: b.String()}
+	f.rules = doc.Text
 	value, err := doc.Encode()
 	if err != nil {
 		f.t.Fatal(err)
@@ -123,30 +135,33 @@
 	f.t.Cleanup(e.Stop)
 	f.endpoints = append(f.endpoints, e)
 	region := fleetRegions[i%len(fleetRegions)]
-	f.platform.PutEndpoint(platform.EndpointRecord{
+	rec := platform.EndpointRecord{
 		ID: model.EndpointID(fmt.Sprintf("entries-%d", i)), Service: "entries", Region: region,
-		Domain: model.Domain(region + "-a"), Addr: e.Addr(), Slots: 4, State: "live",
-	})
+		Domain: domainOf(region, i), Addr: e.Addr(), Slots: 4, State: "live",
+	}
+	f.records = append(f.records, rec)
+	f.platform.PutEndpoint(rec)
 }
 
 func (f *fleet) addEntry(i int) {
 	region := fleetRegions[i%len(fleetRegions)]
+	domain := domainOf(region, i)
 	p := &process{
-		id:        model.InstanceID(fmt.Sprintf("%s-a-%d", region, i)),
+		id:        model.InstanceID(fmt.Sprintf("%s-%d", domain, i)),
 		entryAddr: freeAddr(f.t), peerAddr: freeAddr(f.t), controlAddr: freeAddr(f.t),
 		config: filepath.Join(f.t.TempDir(), "settings.json"),
 	}
-	text := fmt.Sprintf(`{"instance": %q, "region": %q, "domain": "%s-a",
+	text := fmt.Sprintf(`{"instance": %q, "region": %q, "domain": %q,
 		"listen": {"entry": %q, "peer": %q, "control": %q},
 		"store": %q, "platform": {"url": %q, "poll": "200ms"},
 		"shutdown": {"announce": "1s", "grace": "10s"}, "log": {"level": "info"}}`,
-		p.id, region, region, p.entryAddr, p.peerAddr, p.controlAddr, f.storeURL, f.listURL)
+		p.id, region, domain, p.entryAddr, p.peerAddr, p.controlAddr, f.storeURL, f.listURL)
 	if err := os.WriteFile(p.config, []byte(text), 0o644); err != nil {
 		f.t.Fatal(err)
 	}
 	f.entries = append(f.entries, p)
 	f.platform.PutEntry(platform.EntryRecord{
-		ID: p.id, Region: region, Domain: model.Domain(region + "-a"),
+		ID: p.id, Region: region, Domain: domain,
 		EntryAddr: netip.MustParseAddrPort(p.entryAddr), PeerAddr: netip.MustParseAddrPort(p.peerAddr),
 		ControlAddr: netip.MustParseAddrPort(p.controlAddr), State: "live",
 	})
@@ -197,3 +212,44 @@
 		}
 	})
 }
+
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) {
+	_ = p.cmd.Process.Signal(s)
+}
+
+// control returns a client of the operators' interface of the processes.
+func (f *fleet) control(ps ...*process) *control.Client {
+	f.t.Helper()
+	var addrs []string
+	for _, p := range ps {
+		addrs = append(addrs, p.controlAddr)
+	}
+	c, err := control.NewClient(addrs)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
+// awaitReady waits until the processes take work.
+func (f *fleet) awaitReady(ps ...*process) {
+	f.t.Helper()
+	for _, p := range ps {
+		eventually(f.t, 15*time.Second, "readiness of "+string(p.id), func() bool {
+			st, err := f.control(p).Status(f.t.Context())
+			return err == nil && st.Ready
+		})
+	}
+}
+
+// runs sums the runs of each piece of work over all endpoints.
+func (f *fleet) runs() map[string]int {
+	out := make(map[string]int)
+	for _, e := range f.endpoints {
+		for work, n := range e.Runs() {
+			out[work] += n
+		}
+	}
+	return out
+}
--- a/internal/proctest/path_test.go
+++ b/internal/proctest/path_test.go
@@ -37,6 +37,18 @@
 	return string(b)
 }
 
+// post sends a request that may not be repeated and has no key.
+func post(t *testing.T, url, body string) {
+	t.Helper()
+	c := http.Client{Timeout: 5 * time.Second}
+	resp, err := c.Post(url, "text/plain", strings.NewReader(body))
+	if err != nil {
+		t.Logf("post: %v", err)
+		return
+	}
+	_ = resp.Body.Close()
+}
+
 // eventually polls until ok or fails the test.
 func eventually(t *testing.T, within time.Duration, what string, ok func() bool) {
 	t.Helper()
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -70,6 +70,7 @@
 	runs    map[string]int
 	total   int
 	frozen  chan struct{}
+	crashed bool
 }
 
 // StartEndpoint listens on addr ("127.0.0.1:0" for any port) and serves.
@@ -129,6 +130,13 @@
 	return out
 }
 
+// Crashed reports whether a request for CrashPath has stopped the endpoint.
+func (e *Endpoint) Crashed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed
+}
+
 // Total returns how many requests have started to run.
 func (e *Endpoint) Total() int {
 	e.mu.Lock()
@@ -199,6 +207,9 @@
 	utilization := float64(e.waiting) / float64(e.cfg.Slots)
 	e.mu.Unlock()
 	if r.URL.Path == CrashPath {
+		e.mu.Lock()
+		e.crashed = true
+		e.mu.Unlock()
 		go e.Stop()
 		panic(http.ErrAbortHandler)
 	}
