membership: ping the member heard from least recently, confirm while waiting

Both sides of a ping now count it, the loops start at random offsets, and other members are asked during the second that a member must fail. Counting polls as well was tried and made it worse, because all of them start at the same time after a change.

--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -88,6 +88,9 @@
 // PingArgs asks whether the receiver answers or, with a Target, whether the
 // target answers the receiver.
 type PingArgs struct {
+	// From is the sender of a ping without a target, which thereby shows that
+	// it is alive itself.
+	From   model.InstanceID
 	Target model.InstanceID
 
 	ctx context.Context
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -88,6 +88,8 @@
 	retries map[model.InstanceID]*retry
 	// probing and confirming are the members with a call in progress.
 	probing map[model.InstanceID]bool
+	// heard is when each watched member last sent or answered a ping.
+	heard map[model.InstanceID]time.Time
 	// sampled is a random member that is watched for a while.
 	sampled    model.InstanceID
 	confirming map[model.InstanceID]bool
@@ -118,6 +120,7 @@
 		changed: make(chan struct{}),
 		retries: map[model.InstanceID]*retry{},
 
+		heard:      map[model.InstanceID]time.Time{},
 		probing:    map[model.InstanceID]bool{},
 		confirming: map[model.InstanceID]bool{},
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -9,6 +9,10 @@
 const (
 	// SuspectAfter is how long a neighbour must fail before it is suspected.
 	SuspectAfter = time.Second
+	// confirmAfter is how long a neighbour must fail before others are asked
+	// about it. Their answers take up to pingTimeout, so that they are there
+	// at SuspectAfter.
+	confirmAfter = 500 * time.Millisecond
 	// DeadAfter is how long a suspect has to refute its suspicion. It covers
 	// the spread of the suspicion and of the refutation, each within 1 s.
 	DeadAfter = 3 * time.Second
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -87,8 +87,14 @@
 	}
 }
 
-// dropFailing forgets failures of members that are not watched any more.
+// dropFailing forgets what was measured at members that are not watched any
+// more.
 func (n *Node) dropFailing() {
+	for id := range n.heard {
+		if !n.watches(id) {
+			delete(n.heard, id)
+		}
+	}
 	for id := range n.table.failing {
 		if r := n.table.rows[id]; !n.watches(id) || r.member.Health == HealthDead {
 			n.table.Answered(id)
@@ -161,11 +167,14 @@
 	}
 }
 
-// pingLoop pings the watched members in turn, and those that fail more often.
+// pingLoop pings the watched members, and those that fail more often.
 func (n *Node) pingLoop(ctx context.Context) {
+	n.mu.Lock()
+	offset := time.Duration(n.opts.Rand.Int64N(int64(pingInterval)))
+	n.mu.Unlock()
+	sleep(ctx, offset)
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
-	var last model.InstanceID
 	for i := 0; ; i++ {
 		select {
 		case <-ticker.C:
@@ -175,8 +184,7 @@
 		n.mu.Lock()
 		targets := n.failingTargets()
 		if i%int(pingInterval/probeInterval) == 0 {
-			last = n.nextTarget(last)
-			targets = append(targets, last)
+			targets = append(targets, n.nextTarget())
 		}
 		if i%int(sampleEvery*pingInterval/probeInterval) == 0 {
 			targets = append(targets, n.sample())
@@ -201,18 +209,19 @@
 	return ids
 }
 
-// nextTarget returns the watched member that follows the given one by ID.
-func (n *Node) nextTarget(last model.InstanceID) model.InstanceID {
-	var lowest, next model.InstanceID
+// nextTarget returns the watched member whose last ping in either direction is
+// the oldest, so that the watchers of a member take turns without agreeing on
+// them. Polls don't count, because all of them start at the same time after a
+// change.
+func (n *Node) nextTarget() model.InstanceID {
+	var next model.InstanceID
+	var oldest time.Time
 	consider := func(id model.InstanceID) {
 		if r := n.table.rows[id]; r == nil || r.member.Health == HealthDead {
 			return
 		}
-		if lowest == "" || id < lowest {
-			lowest = id
-		}
-		if id > last && (next == "" || id < next) {
-			next = id
+		if at := n.heard[id]; next == "" || at.Before(oldest) || at.Equal(oldest) && id < next {
+			next, oldest = id, at
 		}
 	}
 	for id := range n.links {
@@ -221,12 +230,16 @@
 	for id := range n.callers {
 		consider(id)
 	}
-	if next == "" {
-		return lowest
-	}
 	return next
 }
 
+// pinged records a ping that was answered. The caller holds n.mu.
+func (n *Node) pinged(id model.InstanceID) {
+	if n.watches(id) {
+		n.heard[id] = time.Now()
+	}
+}
+
 // sample returns a random member that is not known to be dead, and watches it
 // until the next one is taken.
 func (n *Node) sample() model.InstanceID {
@@ -253,6 +266,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.probing, id)
+	if err == nil {
+		n.pinged(id)
+	}
 }
 
 // ping asks a member whether it answers, or whether a target answers it.
@@ -261,13 +277,17 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply PingReply
-	err := n.opts.Caller.Call(ctx, id, methodPing, &PingArgs{Target: target}, &reply)
+	err := n.opts.Caller.Call(ctx, id, methodPing, &PingArgs{From: n.opts.Self.ID, Target: target}, &reply)
 	return reply.Reached, err
 }
 
 // Ping answers a ping.
 func (n *Node) Ping(args *PingArgs, reply *PingReply) error {
 	if args.Target == "" {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.table.Answered(args.From)
+		n.pinged(args.From)
 		return nil
 	}
 	_, err := n.ping(callContext(args.ctx), args.Target, "", relayedTimeout)
@@ -280,6 +300,12 @@
 // SuspectAfter.
 func (n *Node) confirm(ctx context.Context, id model.InstanceID) {
 	reached := n.reachedByOthers(ctx, id)
+	n.mu.Lock()
+	wait := n.table.UntilSuspect(time.Now(), id)
+	n.mu.Unlock()
+	if !reached && wait > 0 {
+		sleep(ctx, wait)
+	}
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
