membership: bound records of a message by bytes, test over real connections

5,000 records with long names would have exceeded the bound of a message, so that two tables could never be compared.

--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -17,8 +17,12 @@
 	// members. It is sent when two instances become neighbours and when their
 	// sums differ; otherwise only the sum is sent.
 	DigestBytes = 4 * BucketCount
-	// maxRecords bounds the records in one message, to about 0.6 MB.
-	maxRecords = 5000
+	// maxRecordBytes bounds the records in one message. The table at 4,900
+	// members has about 0.6 MB, and the rest of MaxMessageBytes of package peer
+	// is for news.
+	maxRecordBytes = 768 << 10
+	// fixedRecordBytes is an upper bound of a record without its text fields.
+	fixedRecordBytes = 112
 )
 
 func bucketOf(id model.InstanceID) int {
@@ -59,11 +63,12 @@
 	for i, b := range t.buckets {
 		differs[i] = b != binary.LittleEndian.Uint32(digest[4*i:])
 	}
+	size := 0
 	for id, r := range t.rows {
 		if !differs[bucketOf(id)] {
 			continue
 		}
-		if len(records) == maxRecords {
+		if size += r.member.size(); size > maxRecordBytes {
 			return records, true
 		}
 		records = append(records, r.member)
@@ -71,6 +76,11 @@
 	return records, false
 }
 
+// size is an upper bound of the bytes of a record in a message.
+func (m *Member) size() int {
+	return fixedRecordBytes + len(m.ID) + len(m.Region) + len(m.Domain) + len(m.Successor) + len(m.KeyPrefix)
+}
+
 // Since returns the records that changed after the given value of the change
 // counter, except those that came from the given neighbour, and the value up
 // to which they are complete.
@@ -81,18 +91,18 @@
 	} else {
 		found = t.scan(seq)
 	}
-	upTo := t.seq
-	if len(found) > maxRecords {
-		found = found[:maxRecords]
-		upTo = found[maxRecords-1].changed
-	}
 	var records []Member
-	for _, r := range found {
-		if r.source != except || except == "" {
-			records = append(records, r.member)
+	size := 0
+	for i, r := range found {
+		if r.source == except && except != "" {
+			continue
+		}
+		if size += r.member.size(); size > maxRecordBytes {
+			return records, found[i-1].changed
 		}
+		records = append(records, r.member)
 	}
-	return records, upTo
+	return records, t.seq
 }
 
 func (t *Table) recent(seq uint64) []*row {
--- /dev/null
+++ b/internal/membership/loopback_test.go
@@ -0,0 +1,189 @@
+package membership
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/peer"
+	"jujubestile.example/jujubestile/internal/platform"
+)
+
+// childEnv makes the test binary run one instance, which TestStoppedProcess
+// stops and continues. Its value is the address of the instance to join.
+const childEnv = "MEMBERSHIP_TEST_JOIN"
+
+func TestMain(m *testing.M) {
+	if addr := os.Getenv(childEnv); addr != "" {
+		runChild(addr)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
+
+type fixedSource []model.EntryInstance
+
+func (f fixedSource) List(context.Context) (platform.Listing, error) {
+	return platform.Listing{Entries: f}, nil
+}
+
+// process is one instance with its real connections.
+type process struct {
+	node   *Node
+	server *peer.Server
+	pool   *peer.Pool
+	stop   func()
+}
+
+func listenLoopback() net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return ln
+}
+
+func startProcess(id string, ln net.Listener, source platform.Source) *process {
+	p := &process{server: peer.NewServer(peer.ServerOptions{})}
+	p.pool = peer.NewPool(func(id model.InstanceID) (netip.AddrPort, bool) { return p.node.Resolve(id) }, peer.PoolOptions{})
+	self := Member{
+		ID: model.InstanceID(id), Region: "r", Domain: model.Domain("r-" + id[len(id)-1:]),
+		PeerAddr: netip.MustParseAddrPort(ln.Addr().String()), Incarnation: model.Incarnation(time.Now().UnixNano()),
+	}
+	p.node = NewNode(Options{Self: self, Caller: p.pool, Source: source, Rand: rand.New(rand.NewPCG(1, uint64(self.Incarnation)))})
+	if err := p.server.Register(ServiceName, p.node); err != nil {
+		panic(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ran := make(chan struct{})
+	served := make(chan error, 1)
+	go func() { served <- p.server.Serve(ln) }()
+	go func() { p.node.Run(ctx); close(ran) }()
+	p.stop = func() {
+		cancel()
+		<-ran
+		p.server.Close()
+		<-served
+		p.pool.Close()
+	}
+	return p
+}
+
+func startProcesses(t *testing.T, n int) (all []*process, list fixedSource) {
+	listeners := make([]net.Listener, n)
+	for i := range listeners {
+		listeners[i] = listenLoopback()
+		addr := netip.MustParseAddrPort(listeners[i].Addr().String())
+		list = append(list, model.EntryInstance{ID: model.InstanceID(fmt.Sprint("i", i)), PeerAddr: addr})
+	}
+	for i, ln := range listeners {
+		p := startProcess(fmt.Sprint("i", i), ln, list)
+		all = append(all, p)
+		t.Cleanup(func() { p.stop() })
+	}
+	return all, list
+}
+
+func untilAll(t *testing.T, what string, limit time.Duration, all []*process, ok func(*Node) bool) {
+	t.Helper()
+	start := time.Now()
+	for _, p := range all {
+		for !ok(p.node) {
+			if time.Since(start) > limit {
+				t.Fatalf("%s: not at %s after %v", what, p.node.self().ID, limit)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	t.Logf("%s: everywhere after %v", what, time.Since(start).Round(time.Millisecond))
+}
+
+// Guards against faults that only real connections show, against news that
+// takes over 1 s, and against idle traffic over 500 bytes/s by the counters of
+// the connections.
+func TestLoopback(t *testing.T) {
+	t.Parallel()
+	all, _ := startProcesses(t, 20)
+	untilAll(t, "join", 5*time.Second, all, func(n *Node) bool { return alive(n) == 20 })
+	all[0].node.Drain()
+	untilAll(t, "drain", time.Second, all, func(n *Node) bool { return state(n, "i0") == StateLeaving })
+	time.Sleep(time.Second)
+	before, start := traffic(all), time.Now()
+	time.Sleep(pollWait)
+	rate := float64(traffic(all)-before) / time.Since(start).Seconds() / 20
+	t.Logf("idle: %.0f bytes/s sent and received", rate)
+	if rate > 500 {
+		t.Errorf("idle %.0f bytes/s, want at most 500", rate)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	all[0].node.Leave(ctx)
+	if ctx.Err() != nil {
+		t.Error("the leave was not delivered")
+	}
+	all[0].stop()
+	all[0].stop = func() {}
+	untilAll(t, "death after leaving", 4*time.Second, all[1:], func(n *Node) bool { return state(n, "i0") == StateDead && alive(n) == 19 })
+}
+
+func traffic(all []*process) int64 {
+	var sum int64
+	for _, p := range all {
+		for _, stats := range []map[string]int64{p.server.Stats(), p.pool.Stats()} {
+			sum += stats["bytes_in"] + stats["bytes_out"]
+		}
+	}
+	return sum
+}
+
+func runChild(join string) {
+	ln := listenLoopback()
+	source := fixedSource{
+		{ID: "i0", PeerAddr: netip.MustParseAddrPort(join)},
+		{ID: "child0", PeerAddr: netip.MustParseAddrPort(ln.Addr().String())},
+	}
+	p := startProcess("child0", ln, source)
+	fmt.Println("started")
+	_, _ = bufio.NewReader(os.Stdin).ReadByte()
+	fmt.Printf("%d alive, paused %v\n", alive(p.node), p.node.Stats()["paused_ms"] > 0)
+	p.stop()
+}
+
+// Guards against a process that was stopped (SIGSTOP) and stays dead for the
+// others after it runs again, or that calls the others dead.
+func TestStoppedProcess(t *testing.T) {
+	t.Parallel()
+	all, _ := startProcesses(t, 5)
+	child := exec.Command(os.Args[0])
+	child.Env = append(os.Environ(), childEnv+"="+all[0].node.self().PeerAddr.String())
+	stdin, _ := child.StdinPipe()
+	var out strings.Builder
+	child.Stdout = &out
+	if err := child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = child.Process.Kill() }()
+	untilAll(t, "join", 5*time.Second, all, func(n *Node) bool { return alive(n) == 6 })
+	time.Sleep(time.Second)
+	_ = child.Process.Signal(syscall.SIGSTOP)
+	untilAll(t, "suspicion", 5*time.Second, all, func(n *Node) bool { return state(n, "child0") != StateAlive })
+	untilAll(t, "death", 6*time.Second, all, func(n *Node) bool { return state(n, "child0") == StateDead })
+	_ = child.Process.Signal(syscall.SIGCONT)
+	untilAll(t, "return", 8*time.Second, all, func(n *Node) bool { return alive(n) == 6 })
+	_ = stdin.Close()
+	if err := child.Wait(); err != nil || !strings.Contains(out.String(), "6 alive, paused true") {
+		t.Errorf("child: %v, %q", err, out.String())
+	}
+}
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -257,11 +257,13 @@
 func (n *Node) Stats() map[string]int64 {
 	n.mu.Lock()
 	links, members, failing := len(n.links), len(n.table.rows), len(n.table.failing)
+	paused := n.table.Paused()
 	n.mu.Unlock()
 	return map[string]int64{
 		"members":     int64(members),
 		"neighbours":  int64(links),
 		"failing":     int64(failing),
+		"paused_ms":   paused.Milliseconds(),
 		"exchanges":   n.stats.exchanges.Load(),
 		"pushes":      n.stats.pushes.Load(),
 		"pings":       n.stats.pings.Load(),
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -1,9 +1,13 @@
 package membership
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,6 +153,47 @@
 	}
 }
 
+// Guards against messages over the bound of package peer, which would never
+// arrive, when many members with long names are transferred.
+func TestRecordsFitIntoMessages(t *testing.T) {
+	a, b, c := newTable(), newTable(), newTable()
+	long := strings.Repeat("x", maxNameBytes-10)
+	for i := range 4900 {
+		m := member(fmt.Sprint(long, i), 1<<60, 1<<60, HealthSuspect)
+		m.Region, m.Domain, m.KeyPrefix, m.Successor = model.Region(long), model.Domain(long), long, m.ID
+		m.EntryAddr = netip.MustParseAddrPort("[2001:db8:ffff:ffff:ffff:ffff:ffff:ffff]:65535")
+		m.PeerAddr, m.ControlAddr, m.RulesRevision, m.LoadClass, m.Leaving = m.EntryAddr, m.EntryAddr, 1<<60, 7, true
+		a.Merge(epoch, m, "")
+	}
+	check := func(list []Member) {
+		t.Helper()
+		var buf bytes.Buffer
+		if err := gob.NewEncoder(&buf).Encode(ExchangeReply{Members: list, Buckets: a.Digest()}); err != nil || buf.Len() > maxRecordBytes+4096 {
+			t.Fatalf("%d records take %d bytes, %v", len(list), buf.Len(), err)
+		}
+	}
+	for rounds := 0; b.Sum() != a.Sum(); rounds++ {
+		list, _ := a.Differing(b.Digest())
+		check(list)
+		mergeAll(b, list)
+		if rounds > 10 {
+			t.Fatal("tables stay different")
+		}
+	}
+	for seq := uint64(0); seq < a.Seq(); {
+		list, next := a.Since(seq, "")
+		check(list)
+		mergeAll(c, list)
+		if next <= seq {
+			t.Fatal("no progress")
+		}
+		seq = next
+	}
+	if c.Sum() != a.Sum() {
+		t.Error("the counters lost records")
+	}
+}
+
 // Guards against a death that shows before its subject could refute it, and
 // against a tombstone that is dropped early or kept for ever.
 func TestStatesOverTime(t *testing.T) {
