--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -53,27 +53,40 @@
 func (t *Table) Seq() uint64 { return t.seq }
 
 // Differing returns the records of the buckets in which this table differs
-// from another one with the given digest, and whether records were left out
-// for their number.
+// from another one with the given digest, and whether buckets were left out
+// for the size of their records. Buckets are sent as a whole, so that they are
+// equal afterwards and each message makes progress.
 func (t *Table) Differing(digest []byte) (records []Member, more bool) {
 	if len(digest) != DigestBytes {
 		return nil, false
 	}
+	size := 0
+	for _, bucket := range t.differingBuckets(digest) {
+		for _, r := range bucket {
+			size += r.member.size()
+		}
+		if size > maxRecordBytes && len(records) > 0 {
+			return records, true
+		}
+		for _, r := range bucket {
+			records = append(records, r.member)
+		}
+	}
+	return records, false
+}
+
+func (t *Table) differingBuckets(digest []byte) [][]*row {
 	var differs [BucketCount]bool
 	for i, b := range t.buckets {
 		differs[i] = b != binary.LittleEndian.Uint32(digest[4*i:])
 	}
-	size := 0
+	buckets := make([][]*row, BucketCount)
 	for id, r := range t.rows {
-		if !differs[bucketOf(id)] {
-			continue
-		}
-		if size += r.member.size(); size > maxRecordBytes {
-			return records, true
+		if b := bucketOf(id); differs[b] {
+			buckets[b] = append(buckets[b], r)
 		}
-		records = append(records, r.member)
 	}
-	return records, false
+	return buckets
 }
 
 // size is an upper bound of the bytes of a record in a message.
