--- a/internal/lookup/service.go
+++ b/internal/lookup/service.go
@@ -76,11 +76,11 @@
 // Stats returns the counters in a form for expvar.Func.
 func (s *Service) Stats() map[string]int64 {
 	return map[string]int64{
-		"lookups":         s.lookups.Load(),
-		"lookups_bad":     s.bad.Load(),
-		"lookups_empty":   s.empty.Load(),
-		"caller_blocks":   int64(s.Directory().table.Len()),
-		"caller_table_by": int64(s.Directory().table.Bytes()),
+		"lookups":            s.lookups.Load(),
+		"lookups_bad":        s.bad.Load(),
+		"lookups_empty":      s.empty.Load(),
+		"caller_blocks":      int64(s.Directory().table.Len()),
+		"caller_table_bytes": int64(s.Directory().table.Bytes()),
 	}
 }
 
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -95,7 +95,7 @@
 }
 
 // Since returns the records that changed after the given value of the change
-// counter, except those that came from the given neighbour, and the value up
+// counter, except those that the given neighbour is known to have, and the value up
 // to which they are complete.
 func (t *Table) Since(seq uint64, except model.InstanceID) ([]Member, uint64) {
 	var found []*row
@@ -107,7 +107,7 @@
 	var records []Member
 	size := 0
 	for i, r := range found {
-		if r.source == except && except != "" {
+		if r.heldBy(except) {
 			continue
 		}
 		if size += r.member.size(); size > maxRecordBytes {
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -13,6 +13,10 @@
 const (
 	// coalesce is how long news waits for more news.
 	coalesce = 5 * time.Millisecond
+	// replyDelay is how long the answer to a poll waits for more news. It is
+	// longer than coalesce, so that a caller that pushes the same news first is
+	// not sent it as well.
+	replyDelay = 20 * time.Millisecond
 	// resendAfter is the time after which the same news is sent again to an
 	// instance that did not take it, for example because it refused it.
 	resendAfter = time.Second
@@ -140,7 +144,7 @@
 			return
 		}
 		if waitFor(ctx, changed, later) {
-			sleep(ctx, coalesce)
+			sleep(ctx, replyDelay)
 		}
 	}
 }
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -16,6 +16,8 @@
 
 const (
 	tickInterval = 100 * time.Millisecond
+	// expireInterval is the time between two calls of Expirer.
+	expireInterval = time.Minute
 	// listInterval is the time between readings of the platform's list.
 	listInterval = 5 * time.Second
 	listTimeout  = 4 * time.Second
@@ -23,6 +25,12 @@
 	viewAge = 100 * time.Millisecond
 )
 
+// Expirer is implemented by topics that drop old news. A Node calls it once a
+// minute.
+type Expirer interface {
+	Expire(now time.Time)
+}
+
 // Options are what a Node needs.
 type Options struct {
 	// Self is the own record. Its Incarnation is the start time.
@@ -58,7 +66,6 @@
 const (
 	EventSuspected  EventKind = "member suspected"
 	EventRefuted    EventKind = "own suspicion refuted"
-	EventStates     EventKind = "member states changed"
 	EventDistrust   EventKind = "own measurements distrusted"
 	EventTrust      EventKind = "own measurements trusted again"
 	EventPaused     EventKind = "process was paused"
@@ -142,15 +149,23 @@
 }
 
 // Resolve returns where an instance accepts calls, for a peer.Pool. The table
-// comes before the platform's list, which lags.
+// comes before the platform's list, which lags, unless the instance is dead:
+// its successor may have another address.
 func (n *Node) Resolve(id model.InstanceID) (addr netip.AddrPort, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if r := n.table.rows[id]; r != nil && r.member.PeerAddr.IsValid() {
+	r := n.table.rows[id]
+	known := r != nil && r.member.PeerAddr.IsValid()
+	if known && r.member.Health != HealthDead {
+		return r.member.PeerAddr, true
+	}
+	if e, ok := n.table.listing[id]; ok {
+		return e.PeerAddr, true
+	}
+	if known {
 		return r.member.PeerAddr, true
 	}
-	e, ok := n.table.listing[id]
-	return e.PeerAddr, ok
+	return netip.AddrPort{}, false
 }
 
 // View returns the present view. It is shared and must not be changed.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"jujubestile.example/jujubestile/internal/model"
@@ -29,6 +30,8 @@
 	// pauseGap is the time between two ticks from which the process counts as
 	// paused. What it measured over the pause is void.
 	pauseGap = 2 * time.Second
+	// maxAlso bounds the instances that a record is not sent back to.
+	maxAlso = 10
 	// maxLog bounds the recent changes that are found without a scan of the
 	// table.
 	maxLog = 1024
@@ -39,8 +42,10 @@
 	member Member
 	// changed is the value of the table's change counter at the last change.
 	changed uint64
-	// source is the neighbour that the record came from, or empty.
+	// source is the neighbour that the record came from, or empty; also are
+	// others that sent the same record later.
 	source model.InstanceID
+	also   [maxAlso]model.InstanceID
 	// since is when the record stopped being alive at its present version.
 	since time.Time
 	// missing is when a listing of the platform first lacked the member.
@@ -122,7 +127,10 @@
 	if r == nil {
 		r = &row{}
 		t.insert(m.ID, r)
-	} else if compare(m, r.member) <= 0 {
+	} else if c := compare(m, r.member); c <= 0 {
+		if c == 0 {
+			r.noteHolder(source)
+		}
 		return false
 	}
 	t.put(now, r, m, source)
@@ -164,6 +172,7 @@
 	r.member = m
 	r.shown = nil
 	r.source = source
+	r.also = [maxAlso]model.InstanceID{}
 	t.count(r)
 	t.seq++
 	r.changed = t.seq
@@ -212,6 +221,21 @@
 	t.shape++
 }
 
+// noteHolder records that an instance has the record.
+func (r *row) noteHolder(id model.InstanceID) {
+	for i, known := range r.also {
+		if known == "" || known == id {
+			r.also[i] = id
+			return
+		}
+	}
+}
+
+// heldBy reports whether an instance is known to have the record.
+func (r *row) heldBy(id model.InstanceID) bool {
+	return id != "" && (r.source == id || slices.Contains(r.also[:], id))
+}
+
 // remove drops the record of a dead member.
 func (t *Table) remove(id model.InstanceID) {
 	delete(t.rows, id)
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -361,6 +361,48 @@
 	}
 }
 
+// Guards against neighbours by which news does not reach all of 4,900 members,
+// or only in many steps.
+func TestGraphAt4900(t *testing.T) {
+	x := newTable()
+	x.remove("self")
+	for i := range 4900 {
+		m := member(fmt.Sprint("instance-", i), 1, 1, HealthAlive)
+		m.Region = model.Region(fmt.Sprint("r", i%10))
+		m.Domain = model.Domain(fmt.Sprint("r", i%10, "-", i/10%4))
+		x.Merge(epoch, m, "n")
+	}
+	links := map[model.InstanceID][]model.InstanceID{}
+	most := 0
+	for id, r := range x.rows {
+		x.self = r
+		near, far := x.choose()
+		for _, other := range append(near, far...) {
+			links[id] = append(links[id], other)
+			links[other] = append(links[other], id)
+			most = max(most, len(links[other]))
+		}
+	}
+	seen := map[model.InstanceID]bool{"instance-0": true}
+	wave, steps := []model.InstanceID{"instance-0"}, 0
+	for ; len(wave) > 0; steps++ {
+		var next []model.InstanceID
+		for _, id := range wave {
+			for _, other := range links[id] {
+				if !seen[other] {
+					seen[other] = true
+					next = append(next, other)
+				}
+			}
+		}
+		wave = next
+	}
+	t.Logf("%d of 4900 reached in %d steps, at most %d links", len(seen), steps-1, most)
+	if len(seen) != 4900 || steps-1 > 10 || most > 30 {
+		t.Errorf("%d of 4900 reached in %d steps, at most %d links", len(seen), steps-1, most)
+	}
+}
+
 // Guards against table operations that are too slow at the target size of
 // 4,900 members. Also shows the size of the digest.
 func BenchmarkTable4900(b *testing.B) {
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -38,8 +38,14 @@
 func (n *Node) tickLoop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	expired := time.Now()
 	for {
-		n.tick(ctx, time.Now())
+		now := time.Now()
+		n.tick(ctx, now)
+		if now.Sub(expired) >= expireInterval {
+			expired = now
+			n.expireTopics(now)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -49,6 +55,14 @@
 	}
 }
 
+func (n *Node) expireTopics(now time.Time) {
+	for _, topic := range n.topics {
+		if e, ok := topic.(Expirer); ok {
+			e.Expire(now)
+		}
+	}
+}
+
 func (n *Node) tick(ctx context.Context, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -311,6 +312,25 @@
 	}
 }
 
+// Guards against memory for each instance that was ever called, and against
+// forgetting one that is in use.
+func TestForgetsUnusedPeers(t *testing.T) {
+	ln := listen(t, "127.0.0.1:0")
+	serve(t, ln, ServerOptions{})
+	a := netip.MustParseAddrPort(ln.Addr().String())
+	p := NewPool(func(id model.InstanceID) (netip.AddrPort, bool) { return a, id == "a" }, PoolOptions{})
+	defer p.Close()
+	if _, err := say(p, "x", time.Second); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 10 * maxIdlePeers {
+		_ = p.Call(context.Background(), model.InstanceID(fmt.Sprint(i)), "Echo.Say", Text{}, &Text{})
+	}
+	if _, err := say(p, "x", time.Second); err != nil || len(p.peers) > maxIdlePeers || p.Stats()["dials"] != 1 {
+		t.Errorf("%v, %d instances known, %d dials", err, len(p.peers), p.Stats()["dials"])
+	}
+}
+
 // Guards against methods that run on after their caller has given up, and
 // against losing the caller's trace.
 func TestCallContext(t *testing.T) {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -60,6 +60,10 @@
 	return d.DialContext(ctx, "tcp", addr.String())
 }
 
+// maxIdlePeers is the number of known instances from which those without
+// connections are forgotten.
+const maxIdlePeers = 256
+
 // poolCounters are the counters of a Pool.
 type poolCounters struct {
 	calls, failures, timeouts, busy, dials, dialFailures, silent atomic.Int64
@@ -111,14 +115,10 @@
 }
 
 func (p *Pool) call(ctx context.Context, to model.InstanceID, method string, args, reply any) (sent bool, err error) {
-	r, err := p.remote(to)
+	r, err := p.acquire(to)
 	if err != nil {
 		return false, err
 	}
-	if !r.acquire() {
-		p.counters.busy.Add(1)
-		return false, errors.QuotaLimitExceededf("calls in flight to %s", to)
-	}
 	defer r.release()
 	for {
 		c, err := r.conn(ctx)
@@ -134,7 +134,9 @@
 	}
 }
 
-func (p *Pool) remote(to model.InstanceID) (*remote, error) {
+// acquire returns the connections to an instance for one call, which releases
+// them again.
+func (p *Pool) acquire(to model.InstanceID) (*remote, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -142,12 +144,30 @@
 	}
 	r := p.peers[to]
 	if r == nil {
+		p.dropUnused()
 		r = &remote{pool: p, id: to}
 		p.peers[to] = r
 	}
+	if !r.acquire() {
+		p.counters.busy.Add(1)
+		return nil, errors.QuotaLimitExceededf("calls in flight to %s", to)
+	}
 	return r, nil
 }
 
+// dropUnused forgets instances without connections once there are many, since
+// replaced instances never come back. The caller holds p.mu.
+func (p *Pool) dropUnused() {
+	if len(p.peers) < maxIdlePeers {
+		return
+	}
+	for id, r := range p.peers {
+		if r.unused() {
+			delete(p.peers, id)
+		}
+	}
+}
+
 // Forget closes the connections to an instance that is gone.
 func (p *Pool) Forget(id model.InstanceID) {
 	p.mu.Lock()
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -185,6 +185,14 @@
 	r.retireLocked(c)
 }
 
+// unused reports whether nothing would be lost with r: no connection, no call
+// and no pause after a failed dial.
+func (r *remote) unused() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.conns) == 0 && r.dialing == nil && r.inFlight.Load() == 0 && time.Now().After(r.nextDial)
+}
+
 func (r *remote) closeAll() {
 	r.mu.Lock()
 	conns := r.conns
