--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -230,7 +230,6 @@
 	d.loop(func() { d.applyRules(ctx) })
 	d.loop(func() { d.housekeep(ctx) })
 	d.loop(func() { d.probe(ctx) })
-	d.loop(func() { d.expireNotices(ctx) })
 	return nil
 }
 
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -150,20 +150,6 @@
 	d.members.SetLoadClass(d.loadClass())
 }
 
-// expireNotices drops notices of endpoints that are long gone.
-func (d *Daemon) expireNotices(ctx context.Context) {
-	tick := time.NewTicker(time.Minute)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			d.notices.Expire(now)
-		}
-	}
-}
-
 // witnessOf returns the witness's part of a key prefix.
 func witnessOf(prefix string) string {
 	parts := strings.Split(prefix, ".")
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -16,6 +16,8 @@
 
 const (
 	tickInterval = 100 * time.Millisecond
+	// expireInterval is the time between two calls of Expirer.
+	expireInterval = time.Minute
 	// defaultListInterval is the time between readings of the platform's list.
 	defaultListInterval = time.Second
 	// listReaders is how many instances read the list at that interval. In a
@@ -28,6 +30,12 @@
 	viewAge = 100 * time.Millisecond
 )
 
+// Expirer is implemented by topics that drop old news. A Node calls it once a
+// minute.
+type Expirer interface {
+	Expire(now time.Time)
+}
+
 // Options are what a Node needs.
 type Options struct {
 	// Self is the own record. Its Incarnation is the start time.
@@ -66,7 +74,6 @@
 const (
 	EventSuspected  EventKind = "member suspected"
 	EventRefuted    EventKind = "own suspicion refuted"
-	EventStates     EventKind = "member states changed"
 	EventDistrust   EventKind = "own measurements distrusted"
 	EventTrust      EventKind = "own measurements trusted again"
 	EventPaused     EventKind = "process was paused"
@@ -96,6 +103,8 @@
 	retries map[model.InstanceID]*retry
 	// probing and confirming are the members with a call in progress.
 	probing map[model.InstanceID]bool
+	// heard is when each watched member last sent or answered a ping.
+	heard map[model.InstanceID]time.Time
 	// sampled is a random member that is watched for a while.
 	sampled    model.InstanceID
 	confirming map[model.InstanceID]bool
@@ -129,6 +138,7 @@
 		changed: make(chan struct{}),
 		retries: map[model.InstanceID]*retry{},
 
+		heard:      map[model.InstanceID]time.Time{},
 		probing:    map[model.InstanceID]bool{},
 		confirming: map[model.InstanceID]bool{},
 	}
@@ -150,15 +160,23 @@
 }
 
 // Resolve returns where an instance accepts calls, for a peer.Pool. The table
-// comes before the platform's list, which lags.
+// comes before the platform's list, which lags, unless the instance is dead:
+// its successor may have another address.
 func (n *Node) Resolve(id model.InstanceID) (addr netip.AddrPort, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if r := n.table.rows[id]; r != nil && r.member.PeerAddr.IsValid() {
+	r := n.table.rows[id]
+	known := r != nil && r.member.PeerAddr.IsValid()
+	if known && r.member.Health != HealthDead {
+		return r.member.PeerAddr, true
+	}
+	if e, ok := n.table.listing[id]; ok {
+		return e.PeerAddr, true
+	}
+	if known {
 		return r.member.PeerAddr, true
 	}
-	e, ok := n.table.listing[id]
-	return e.PeerAddr, ok
+	return netip.AddrPort{}, false
 }
 
 // View returns the present view. It is shared and must not be changed.
@@ -265,11 +283,13 @@
 func (n *Node) Stats() map[string]int64 {
 	n.mu.Lock()
 	links, members, failing := len(n.links), len(n.table.rows), len(n.table.failing)
+	paused := n.table.Paused()
 	n.mu.Unlock()
 	return map[string]int64{
 		"members":     int64(members),
 		"neighbours":  int64(links),
 		"failing":     int64(failing),
+		"paused_ms":   paused.Milliseconds(),
 		"exchanges":   n.stats.exchanges.Load(),
 		"pushes":      n.stats.pushes.Load(),
 		"pings":       n.stats.pings.Load(),
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -1,9 +1,13 @@
 package membership
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,6 +153,47 @@
 	}
 }
 
+// Guards against messages over the bound of package peer, which would never
+// arrive, when many members with long names are transferred.
+func TestRecordsFitIntoMessages(t *testing.T) {
+	a, b, c := newTable(), newTable(), newTable()
+	long := strings.Repeat("x", maxNameBytes-10)
+	for i := range 4900 {
+		m := member(fmt.Sprint(long, i), 1<<60, 1<<60, HealthSuspect)
+		m.Region, m.Domain, m.KeyPrefix, m.Successor = model.Region(long), model.Domain(long), long, m.ID
+		m.EntryAddr = netip.MustParseAddrPort("[2001:db8:ffff:ffff:ffff:ffff:ffff:ffff]:65535")
+		m.PeerAddr, m.ControlAddr, m.RulesRevision, m.LoadClass, m.Leaving = m.EntryAddr, m.EntryAddr, 1<<60, 7, true
+		a.Merge(epoch, m, "")
+	}
+	check := func(list []Member) {
+		t.Helper()
+		var buf bytes.Buffer
+		if err := gob.NewEncoder(&buf).Encode(ExchangeReply{Members: list, Buckets: a.Digest()}); err != nil || buf.Len() > maxRecordBytes+4096 {
+			t.Fatalf("%d records take %d bytes, %v", len(list), buf.Len(), err)
+		}
+	}
+	for rounds := 0; b.Sum() != a.Sum(); rounds++ {
+		list, _ := a.Differing(b.Digest())
+		check(list)
+		mergeAll(b, list)
+		if rounds > 10 {
+			t.Fatal("tables stay different")
+		}
+	}
+	for seq := uint64(0); seq < a.Seq(); {
+		list, next := a.Since(seq, "")
+		check(list)
+		mergeAll(c, list)
+		if next <= seq {
+			t.Fatal("no progress")
+		}
+		seq = next
+	}
+	if c.Sum() != a.Sum() {
+		t.Error("the counters lost records")
+	}
+}
+
 // Guards against a death that shows before its subject could refute it, and
 // against a tombstone that is dropped early or kept for ever.
 func TestStatesOverTime(t *testing.T) {
@@ -311,11 +356,53 @@
 		t.Error("suspected a member although most fail")
 	}
 	x.Answered("c")
-	if len(x.ToConfirm(epoch.Add(SuspectAfter-1))) != 0 || !x.Suspect(later, "a") {
+	if len(x.ToConfirm(epoch.Add(confirmAfter-1))) != 0 || x.Suspect(later.Add(-1), "a") || !x.Suspect(later, "a") {
 		t.Error("suspected too early or not at all")
 	}
 }
 
+// Guards against neighbours by which news does not reach all of 4,900 members,
+// or only in many steps.
+func TestGraphAt4900(t *testing.T) {
+	x := newTable()
+	x.remove("self")
+	for i := range 4900 {
+		m := member(fmt.Sprint("instance-", i), 1, 1, HealthAlive)
+		m.Region = model.Region(fmt.Sprint("r", i%10))
+		m.Domain = model.Domain(fmt.Sprint("r", i%10, "-", i/10%4))
+		x.Merge(epoch, m, "n")
+	}
+	links := map[model.InstanceID][]model.InstanceID{}
+	most := 0
+	for id, r := range x.rows {
+		x.self = r
+		near, far := x.choose()
+		for _, other := range append(near, far...) {
+			links[id] = append(links[id], other)
+			links[other] = append(links[other], id)
+			most = max(most, len(links[other]))
+		}
+	}
+	seen := map[model.InstanceID]bool{"instance-0": true}
+	wave, steps := []model.InstanceID{"instance-0"}, 0
+	for ; len(wave) > 0; steps++ {
+		var next []model.InstanceID
+		for _, id := range wave {
+			for _, other := range links[id] {
+				if !seen[other] {
+					seen[other] = true
+					next = append(next, other)
+				}
+			}
+		}
+		wave = next
+	}
+	t.Logf("%d of 4900 reached in %d steps, at most %d links", len(seen), steps-1, most)
+	if len(seen) != 4900 || steps-1 > 10 || most > 30 {
+		t.Errorf("%d of 4900 reached in %d steps, at most %d links", len(seen), steps-1, most)
+	}
+}
+
 // Guards against table operations that are too slow at the target size of
 // 4,900 members. Also shows the size of the digest.
 func BenchmarkTable4900(b *testing.B) {
