--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -43,7 +43,6 @@
 // concurrent use.
 type Control struct {
 	router dispatch.Router
-	usable func(model.Service) float64
 
 	mu      sync.RWMutex
 	queues  map[model.Service]*queue
@@ -52,15 +51,9 @@
 
 var _ dispatch.Admission = (*Control)(nil)
 
-// New returns a Control over the slots of a Router. Usable tells which fraction
-// of a service's capacity its endpoints have left (balance.Balancer.Usable); nil
-// means all. The instance uses only that fraction of its slots: the rest would
-// wait at the endpoints, where priorities do not count.
-func New(r dispatch.Router, usable func(model.Service) float64) *Control {
-	if usable == nil {
-		usable = func(model.Service) float64 { return 1 }
-	}
-	return &Control{router: r, usable: usable, queues: map[model.Service]*queue{}}
+// New returns a Control over the slots of a Router.
+func New(r dispatch.Router) *Control {
+	return &Control{router: r, queues: map[model.Service]*queue{}}
 }
 
 // SetMinimum sets the fraction of slot time, from 0 to 1, that a priority gets
@@ -113,7 +106,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if q = c.queues[s]; q == nil {
-		q = newQueue(s, c.router, c.usable, c.minimum)
+		q = newQueue(s, c.router, c.minimum)
 		c.queues[s] = q
 	}
 	return q
--- a/internal/admission/admit_test.go
+++ b/internal/admission/admit_test.go
@@ -34,7 +34,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := newRouter(1)
 				r.err = dispatch.ErrShiftCapped
-				c := New(r, nil)
+				c := New(r)
 				n := dispatch.Need{Service: "s", Priority: 1, Deadline: time.Now().Add(time.Hour)}
 				p, err := c.Admit(t.Context(), n)
 				if err != nil {
@@ -58,7 +58,7 @@
 func TestCancelledWaiter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRouter(1)
-		c := New(r, nil)
+		c := New(r)
 		n := dispatch.Need{Service: "s", Priority: 2, Deadline: time.Now().Add(time.Hour)}
 		p, _ := c.Admit(t.Context(), n)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -85,7 +85,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRouter(1)
 		r.err = dispatch.ErrShiftCapped
-		c := New(r, nil)
+		c := New(r)
 		p, _ := c.Admit(t.Context(), dispatch.Need{Service: "s", Priority: 1, Deadline: time.Now().Add(time.Hour)})
 		p.Answered(100 * time.Millisecond)
 		begin := time.Now()
@@ -103,7 +103,7 @@
 // Guards against a hedge that takes a slot from a waiting request or from the
 // reserve of a more urgent priority.
 func TestTryAdmit(t *testing.T) {
-	c := New(newRouter(4), nil)
+	c := New(newRouter(4))
 	n := dispatch.Need{Service: "s", Priority: 2, Deadline: time.Now().Add(time.Hour)}
 	for i := range 4 {
 		_, ok := c.TryAdmit(time.Now(), n)
@@ -116,7 +116,7 @@
 // Guards against minimum shares of unknown priorities, which would index past
 // the queues.
 func TestSetMinimum(t *testing.T) {
-	c := New(newRouter(1), nil)
+	c := New(newRouter(1))
 	c.queue("s")
 	c.SetMinimum(map[model.Priority]float64{0: 0.5, 3: 0.05, 9: 0.5})
 	if m := c.queue("s").minimum; m != [numClasses]float64{0, 0, 0.05} {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -38,15 +38,13 @@
 type queue struct {
 	service model.Service
 	router  dispatch.Router
-	usable  func(model.Service) float64
 
 	mu       sync.Mutex
 	waiting  [numClasses]list
 	running  list // preemptible tickets in flight, by grant
 	inFlight [numClasses]int
 	held     []held
-	slots    int  // usable ones of Router.Slots, at the last look
-	reduced  bool // not all slots are usable
+	slots    int // last value of Router.Slots
 
 	minimum    [numClasses]float64
 	credit     [numClasses]float64 // slot seconds
@@ -61,8 +59,8 @@
 	refused    [numClasses]uint64
 }
 
-func newQueue(s model.Service, r dispatch.Router, usable func(model.Service) float64, minimum [numClasses]float64) *queue {
-	return &queue{service: s, router: r, usable: usable, minimum: minimum}
+func newQueue(s model.Service, r dispatch.Router, minimum [numClasses]float64) *queue {
+	return &queue{service: s, router: r, minimum: minimum}
 }
 
 func (q *queue) setMinimum(m [numClasses]float64) {
@@ -101,7 +99,7 @@
 			return nil
 		}
 	}
-	q.countSlots(now)
+	q.slots = q.router.Slots(now, q.service)
 	if !q.withinReserve(t.class) {
 		return nil
 	}
@@ -231,7 +229,7 @@
 	if q.allWaiting() == 0 {
 		return nil
 	}
-	q.countSlots(now)
+	q.slots = q.router.Slots(now, q.service)
 	q.capped = false
 	var blocked [numClasses]bool
 	for {
@@ -241,20 +239,12 @@
 		}
 		blocked[c] = !q.grantFrom(now, c, byMinimum)
 	}
-	if q.waiting[critical].n > 0 && !q.capped {
+	if blocked[critical] && !q.capped {
 		return q.preempt()
 	}
 	return nil
 }
 
-// countSlots updates how many slots the instance uses.
-func (q *queue) countSlots(now time.Time) {
-	fraction := q.usable(q.service)
-	q.reduced = fraction < 1
-	n := q.router.Slots(now, q.service)
-	q.slots = min(n, max(1, int(math.Round(fraction*float64(n)))))
-}
-
 func (q *queue) allWaiting() int {
 	n := 0
 	for c := range q.waiting {
@@ -294,14 +284,12 @@
 
 // withinReserve reports whether the class may take one more slot.
 func (q *queue) withinReserve(c int) bool {
-	fraction := 1.0
-	switch {
-	case c == critical:
-		return true // the Router decides
-	case c == normal:
-		fraction -= criticalReserve
-	case c == bulk:
-		fraction -= criticalReserve + normalReserve
+	if c == critical {
+		return true
+	}
+	fraction := 1 - criticalReserve
+	if c == bulk {
+		fraction -= normalReserve
 	}
 	// Rounded to the nearest, at least 1: rounding down would leave nothing
 	// for lower priorities on an instance with few slots.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -53,8 +53,6 @@
 	return dispatch.Need{Service: "s", Priority: p, Deadline: deadline}
 }
 
-func all(model.Service) float64 { return 1 }
-
 type fakeSlot struct{ r *fakeRouter }
 
 func (s fakeSlot) Release() {
@@ -130,7 +128,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.SampledFrom([]int{1, 2, 3, 4, 8, 20}).Draw(t, "slots")
 		r := newRouter(n)
-		q := newQueue("s", r, all, [numClasses]float64{})
+		q := newQueue("s", r, [numClasses]float64{})
 		m := &naiveQueue{slots: n}
 		now := start
 		var live []*ticket
@@ -238,7 +236,7 @@
 // Guards against work that is started although it cannot finish in time, both
 // before queueing and when its turn comes.
 func TestDeadline(t *testing.T) {
-	q := newQueue("s", newRouter(1), all, [numClasses]float64{})
+	q := newQueue("s", newRouter(1), [numClasses]float64{})
 	q.answered(start, critical, 100*time.Millisecond)
 	if _, _, err := q.enter(start, need(1, start.Add(90*time.Millisecond))); err == nil {
 		t.Error("admitted with less time than the service time")
@@ -262,7 +260,7 @@
 // Guards against refusing all work for ever after one slow period: the
 // estimate of the service time falls when nothing is answered.
 func TestServiceTimeEstimateFalls(t *testing.T) {
-	q := newQueue("s", newRouter(1), all, [numClasses]float64{})
+	q := newQueue("s", newRouter(1), [numClasses]float64{})
 	q.answered(start, critical, 10*time.Second)
 	if _, _, err := q.enter(start, need(1, start.Add(2*time.Second))); err == nil {
 		t.Fatal("admitted with less time than the service time")
@@ -279,7 +277,7 @@
 func TestMinimumShare(t *testing.T) {
 	for _, n := range []int{3, 40} {
 		r := newRouter(n)
-		q := newQueue("s", r, all, [numClasses]float64{0, 0.1, 0.05})
+		q := newQueue("s", r, [numClasses]float64{0, 0.1, 0.05})
 		var all []*ticket
 		var used [numClasses]int
 		for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
@@ -316,7 +314,7 @@
 // cancelling more attempts than requests wait, and against cancelling work that
 // its minimum share protects.
 func TestPreemption(t *testing.T) {
-	q := newQueue("s", newRouter(4), all, [numClasses]float64{})
+	q := newQueue("s", newRouter(4), [numClasses]float64{})
 	cancelled := 0
 	for range 2 {
 		tk, _, _ := q.enter(start, need(3, start.Add(time.Hour)))
@@ -351,7 +349,7 @@
 func BenchmarkCapacityQueue(b *testing.B) {
 	for _, waiting := range []int{0, 100, 900} {
 		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
-			q := newQueue("s", newRouter(500), all, [numClasses]float64{0, 0.05, 0.05})
+			q := newQueue("s", newRouter(500), [numClasses]float64{0, 0.05, 0.05})
 			q.slots = 500
 			var running []*ticket
 			for range 500 + waiting {
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -91,7 +91,6 @@
 		members[k] = append(members[k], b.keep(now, l, old[k] == nil))
 	}
 	groups := map[model.Service]*group{}
-	b.groups = groups
 	for k, es := range members {
 		if groups[k.service] == nil {
 			groups[k.service] = &group{}
@@ -145,12 +144,8 @@
 	for i, e := range members {
 		e.pool = p
 		e.inSubset = i < size
-		if !e.inSubset {
-			continue
-		}
-		g.slots += e.Slots
-		if e.ejected {
-			g.eject(e, true)
+		if e.inSubset && e.ejected {
+			g.ejected++
 		}
 	}
 	g.endpoints += size
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -48,7 +48,7 @@
 	}
 	bal.SetEndpoints(time.Now(), list)
 	d := dispatch.New(dispatch.Config{
-		Region: "r", Admission: admission.New(noRouter{}, nil), Balancer: bal,
+		Region: "r", Admission: admission.New(noRouter{}), Balancer: bal,
 		Transport: noTransport{&dispatch.Response{Status: 200, Header: http.Header{"Endpoint-Load-Metrics": {"TEXT application_utilization=0.5"}}}},
 		Retry:     retry.NewPolicy(rand.New(rand.NewPCG(1, 2))),
 	})
--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -169,7 +169,7 @@
 	}
 	b := balance.New(balance.Config{Instance: id, Rand: rnd(1), ActiveProbes: true})
 	b.SetInstances(w.start, instances)
-	a := admission.New(r, b.Usable)
+	a := admission.New(r)
 	a.SetMinimum(w.s.minimum)
 	d := dispatch.New(dispatch.Config{
 		Region: t.region, Admission: a, Balancer: b, Transport: t, Retry: retry.NewPolicy(rnd(2)),
