Tell which fraction of a service's endpoint slots is usable

For route and capacity, which can keep work from regions and slots without endpoints. Usable counts ejected endpoints, unless ejections are distrusted.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -60,6 +60,7 @@
 	mu        sync.Mutex
 	endpoints map[model.EndpointID]*endpoint
 	pools     map[poolKey]*pool
+	groups    map[model.Service]*group
 	leaving   map[model.EndpointID]time.Time
 	drained   func(model.Endpoint) bool
 	listed    []model.Endpoint
@@ -186,6 +187,18 @@
 	e.probed(now, ok)
 }
 
+// Usable returns the fraction of the service's endpoint slots, from 0 to 1, that
+// are not on ejected endpoints. It is 1 when ejections are distrusted.
+func (b *Balancer) Usable(s model.Service) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.groups[s]
+	if g == nil || g.slots == 0 || g.distrusted() {
+		return 1
+	}
+	return 1 - float64(g.ejectedSlots)/float64(g.slots)
+}
+
 // State describes an endpoint to operators.
 type State struct {
 	Endpoint    model.Endpoint
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -186,6 +186,7 @@
 	Convey("when most endpoints look unhealthy, all are used", t, func() {
 		b := newBalancer(4)
 		play(b, start, 200, failOn("e0", "e1", "e2", "e3"))
+		So(b.Usable("s"), ShouldEqual, 1)
 		n := map[model.EndpointID]int{}
 		for range 400 {
 			e, _ := b.Pick(start.Add(300*time.Millisecond), "s", "r", nil)
@@ -215,6 +216,7 @@
 		}
 		b.SetEndpoints(start, list)
 		So(play(b, start, 20, answer)["none"], ShouldEqual, 20)
+		So(b.Usable("s"), ShouldAlmostEqual, 2.0/3)
 		_, ok := b.Pick(start, "s", "q", nil)
 		So(ok, ShouldBeTrue)
 	})
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -214,7 +214,7 @@
 
 func (e *endpoint) setEjected(v bool) {
 	if e.ejected != v && e.inSubset && !e.gone {
-		e.pool.group.ejected += map[bool]int{true: 1, false: -1}[v]
+		e.pool.group.eject(e, v)
 	}
 	e.ejected = v
 }
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -91,6 +91,7 @@
 		members[k] = append(members[k], b.keep(now, l, old[k] == nil))
 	}
 	groups := map[model.Service]*group{}
+	b.groups = groups
 	for k, es := range members {
 		if groups[k.service] == nil {
 			groups[k.service] = &group{}
@@ -144,8 +145,12 @@
 	for i, e := range members {
 		e.pool = p
 		e.inSubset = i < size
-		if e.inSubset && e.ejected {
-			g.ejected++
+		if !e.inSubset {
+			continue
+		}
+		g.slots += e.Slots
+		if e.ejected {
+			g.eject(e, true)
 		}
 	}
 	g.endpoints += size
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -41,7 +41,18 @@
 // region would look like a fault of the measurement, and work would go on being
 // sent there.
 type group struct {
-	endpoints, ejected int
+	endpoints, ejected  int
+	slots, ejectedSlots int
+}
+
+// eject counts an endpoint as ejected or not.
+func (g *group) eject(e *endpoint, ejected bool) {
+	sign := 1
+	if !ejected {
+		sign = -1
+	}
+	g.ejected += sign
+	g.ejectedSlots += sign * e.Slots
 }
 
 func (g *group) distrusted() bool {
