Scale the overload threshold with the service time

A service of 4 s per request waits longer than 100 ms without any overload; newest first would starve its oldest request. Also UsableIn: the usable fraction in one region.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -28,7 +28,8 @@
 	maxQueue     = 1000
 	queuePerSlot = 2
 	// overloadAfter is how long the oldest request of a priority waits before
-	// the newest is served first.
+	// the newest is served first, or its service time if that is longer: waiting
+	// for one slow request is no overload.
 	overloadAfter = 100 * time.Millisecond
 	// pollPause is how often waiting requests try again when the Router gives
 	// no signal, for example after the cap on traffic shifts let none go.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -139,7 +139,8 @@
 // The oldest would then mostly be served too late for its caller.
 func (q *queue) overloaded(now time.Time, class int) bool {
 	oldest := q.waiting[class].oldest
-	return oldest != nil && now.Sub(oldest.enqueued) > overloadAfter
+	limit := max(overloadAfter, time.Duration(q.serviceAt(now, class)))
+	return oldest != nil && now.Sub(oldest.enqueued) > limit
 }
 
 // canFinish reports whether the request's service time fits before its
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -257,6 +257,21 @@
 	}
 }
 
+// Guards against newest first in slow services that are not overloaded, where
+// the oldest request would wait for ever longer.
+func TestOverloadByServiceTime(t *testing.T) {
+	q := newQueue("s", newRouter(1), [numClasses]float64{})
+	first, _, _ := q.enter(start, need(2, start.Add(time.Hour)))
+	second, _, _ := q.enter(start, need(2, start.Add(time.Hour)))
+	third, _, _ := q.enter(start.Add(time.Second), need(2, start.Add(time.Hour)))
+	now := start.Add(3 * time.Second)
+	q.answered(now, normal, 4*time.Second)
+	q.release(now, first, now)
+	if second.state != stateGranted || third.state != stateWaiting {
+		t.Errorf("states %d and %d, want the older request granted", second.state, third.state)
+	}
+}
+
 // Guards against refusing all work for ever after one slow period: the
 // estimate of the service time falls when nothing is answered.
 func TestServiceTimeEstimateFalls(t *testing.T) {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -199,6 +199,27 @@
 	return 1 - float64(g.ejectedSlots)/float64(g.slots)
 }
 
+// UsableIn is Usable for one region. It is 0 in a region without endpoints.
+func (b *Balancer) UsableIn(s model.Service, r model.Region) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[poolKey{s, r}]
+	if p == nil {
+		return 0
+	}
+	if p.group.distrusted() {
+		return 1
+	}
+	all, left := 0, 0
+	for _, e := range p.subset {
+		all += max(1, e.Slots)
+		if !e.ejected {
+			left += max(1, e.Slots)
+		}
+	}
+	return float64(left) / float64(all)
+}
+
 // State describes an endpoint to operators.
 type State struct {
 	Endpoint    model.Endpoint
