--- a/internal/policytest/router.go
+++ b/internal/policytest/router.go
@@ -9,18 +9,14 @@
 )
 
 // ownSlots is how many slots each instance owns in its region; the rest of the
-// region's capacity is in a pool that all instances borrow from.
+// region's capacity is in a pool that all instances borrow from. The Router
+// withholds nothing from lower priorities: it is admission that is measured.
 const ownSlots = 1
 
-// Fractions of the pool that priority 2 and 3 leave, like the reserves of
-// admission: otherwise bulk work of all instances together takes every slot.
-var poolReserve = map[model.Priority]float64{model.PriorityNormal: 0.25, model.PriorityBulk: 0.37}
-
 // slots is the capacity of all regions.
 type slots struct {
 	mu      sync.Mutex
 	order   []model.Region
-	size    map[model.Region]int // of the pool
 	free    map[model.Region]int
 	routers []*router
 	first   int // whom signalWaiting signals first
@@ -44,7 +40,6 @@
 	r := &router{all: s, region: region, freed: make(chan struct{}, 1)}
 	if s.free[region] >= ownSlots {
 		s.free[region] -= ownSlots
-		s.size[region] -= ownSlots
 		r.own, r.ownFree = ownSlots, ownSlots
 	}
 	s.routers = append(s.routers, r)
@@ -73,8 +68,7 @@
 }
 
 func (r *router) borrow(now time.Time, n dispatch.Need, g model.Region) dispatch.Slot {
-	keep := int(poolReserve[n.Priority] * float64(r.all.size[g]))
-	if contains(n.Exclude, g) || r.all.free[g] <= keep {
+	if contains(n.Exclude, g) || r.all.free[g] == 0 {
 		return nil
 	}
 	r.all.free[g]--
--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -144,12 +144,11 @@
 
 func (w *world) addNodes() {
 	all := &slots{
-		order: w.s.regions, size: map[model.Region]int{}, free: map[model.Region]int{},
+		order: w.s.regions, free: map[model.Region]int{},
 		held: map[model.Priority]time.Duration{}, from: w.start.Add(w.s.from), to: w.start.Add(w.s.to),
 	}
 	w.slots = all
 	for _, e := range w.order {
-		all.size[e.Region] += e.Slots
 		all.free[e.Region] += e.Slots
 	}
 	for i := range instances {
