Judge set-aside endpoints over all regions of a service

Cause: in a lost region most endpoints are set aside, so that was ignored there and work went on being sent.

--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -156,6 +156,7 @@
 	g.endpoints += size
 	p.subset = members[:size:size]
 	p.rest = members[size:]
+	g.pools = append(g.pools, p)
 	return p
 }
 
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -41,6 +41,7 @@
 // region would look like a fault of the measurement, and work would go on being
 // sent there.
 type group struct {
+	pools               []*pool
 	endpoints, ejected  int
 	slots, ejectedSlots int
 }
@@ -59,6 +60,20 @@
 	return 2*g.ejected > g.endpoints
 }
 
+// mostAside reports whether more than half of the endpoints are ejected or set
+// aside.
+func (g *group) mostAside(now time.Time) bool {
+	n := 0
+	for _, p := range g.pools {
+		for _, e := range p.subset {
+			if e.ejected || e.aside(now) {
+				n++
+			}
+		}
+	}
+	return 2*n > g.endpoints
+}
+
 func (p *pool) meanLatency() float64 {
 	if p.mean == 0 {
 		return defaultLatency
@@ -113,7 +128,7 @@
 	possible := func(e *endpoint) bool {
 		return (all || !e.ejected) && !e.alone && !slices.Contains(exclude, e.ID)
 	}
-	anyway := most(from, func(e *endpoint) bool { return e.ejected || e.aside(now) })
+	anyway := p.group.mostAside(now)
 	allowed := func(e *endpoint) bool { return possible(e) && (anyway || !e.aside(now)) }
 	e := better(now, draw(from, now, rnd, allowed), draw(from, now, rnd, allowed))
 	if e == nil {
@@ -131,17 +146,6 @@
 	return e
 }
 
-// most reports whether more than half of the endpoints are as asked.
-func most(from []*endpoint, is func(*endpoint) bool) bool {
-	n := 0
-	for _, e := range from {
-		if is(e) {
-			n++
-		}
-	}
-	return 2*n > len(from)
-}
-
 // draw returns a random allowed endpoint, or nil after drawLimit draws. A cold
 // endpoint is passed over with the probability that its ramp leaves.
 func draw(from []*endpoint, now time.Time, rnd *rand.Rand, allowed func(*endpoint) bool) *endpoint {
--- a/internal/policytest/policy_test.go
+++ b/internal/policytest/policy_test.go
@@ -15,7 +15,7 @@
 	warm      = 3 * second
 	measured  = 5 * second
 	endOfLoad = warm + measured
-	floodRuns = 8
+	floodRuns = 12
 )
 
 // measure plays a scenario in virtual time on one processor, so that the
