Let attempts that reached no endpoint clear no suspect of a crash

Cause: a request that crashed endpoints was also sent to those that were already dead. Such an attempt ended as 'not crashed', which cleared the suspect. Ruled out: lost reports (all six instances logged the crashes) and the settle time. A third ending, Cancelled, now covers attempts that were not sent, refused or cancelled; the verdict holds back a request while the reports of its last crash are on their way.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,7 +87,9 @@
 	drained, drainedByRules atomic.Bool
 	// lastPrefix is the announced key prefix. Only housekeep uses it.
 	lastPrefix string
-	metrics    metrics
+	// dead holds the members that are logged as dead. Only housekeep uses it.
+	dead    map[model.InstanceID]bool
+	metrics metrics
 }
 
 // New builds an instance. It opens no connection yet.
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -89,6 +89,7 @@
 		if view.Shape != shape {
 			shape = view.Shape
 			d.past.note(now, view.Members)
+			d.logStates(view)
 			d.noteRegions(now, view)
 		}
 		d.announce()
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -4,6 +4,7 @@
 	"jujubestile.example/jujubestile/internal/configsync"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/membership"
+	"jujubestile.example/jujubestile/internal/model"
 )
 
 var rulesEvents = map[configsync.EventKind]events.Event{
@@ -25,10 +26,28 @@
 	d.log.Log(kind).Str("key", configsync.Key).Uint64("in_force", e.InForce.Revision).Uint64("stored", e.Stored.Revision).Err(e.Err).Send()
 }
 
+// logStates logs the members that have died or come back since the last call.
+// Only housekeep calls it.
+func (d *Daemon) logStates(view *membership.View) {
+	dead := make(map[model.InstanceID]bool)
+	for _, s := range view.Members {
+		if s.State != membership.StateDead {
+			if d.dead[s.ID] {
+				d.log.Log(events.MemberBack).Str("member", string(s.ID)).Send()
+			}
+			continue
+		}
+		dead[s.ID] = true
+		if !d.dead[s.ID] {
+			d.log.Log(events.MemberDead).Str("member", string(s.ID)).Str("domain", string(s.Domain)).Send()
+		}
+	}
+	d.dead = dead
+}
+
 var memberEvents = map[membership.EventKind]events.Event{
 	membership.EventSuspected:  events.MemberSuspected,
 	membership.EventRefuted:    events.SuspicionRefuted,
-	membership.EventStates:     events.MemberStates,
 	membership.EventDistrust:   events.Distrust,
 	membership.EventTrust:      events.Trust,
 	membership.EventPaused:     events.Paused,
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -101,9 +101,18 @@
 	quarantine.Refuse:  dispatch.VerdictRefuse,
 }
 
-// Check implements dispatch.Quarantine.
+// Check implements dispatch.Quarantine. A request that is about to be refused is
+// held back until the other instances' reports of the last crash have arrived;
+// its caller may send it again.
 func (a quarantineAdapter) Check(fp uint64) dispatch.Verdict {
-	return verdicts[a.d.quarantine.Check(fp)]
+	v := a.d.quarantine.Check(fp)
+	if v == quarantine.Isolate && !a.d.quarantine.MayStart(fp, "") {
+		v = quarantine.Refuse
+	}
+	if v == quarantine.Refuse {
+		a.d.log.Log(events.Quarantined).Uint64("fingerprint", fp).Send()
+	}
+	return verdicts[v]
 }
 
 // Started implements dispatch.Quarantine.
@@ -111,6 +120,11 @@
 	a.d.quarantine.Started(fp, e)
 }
 
+// Cancelled implements dispatch.Quarantine.
+func (a quarantineAdapter) Cancelled(fp uint64, e model.EndpointID) {
+	a.d.quarantine.Cancelled(fp, e)
+}
+
 // Finished implements dispatch.Quarantine. A crash is told to the other
 // instances at once.
 func (a quarantineAdapter) Finished(fp uint64, e model.EndpointID, crashed bool) {
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -89,10 +89,13 @@
 // Quarantine keeps requests that crash endpoints away from more of them.
 type Quarantine interface {
 	Check(fingerprint uint64) Verdict
-	// Started and Finished enclose each attempt. Crashed means that the
-	// connection broke without an answer.
+	// Started and one of Finished and Cancelled enclose each attempt. Crashed
+	// means that the connection broke without an answer; otherwise the
+	// endpoint has answered. Cancelled says nothing about the request: it did
+	// not reach the endpoint, was refused or was cancelled.
 	Started(fingerprint uint64, endpoint model.EndpointID)
 	Finished(fingerprint uint64, endpoint model.EndpointID, crashed bool)
+	Cancelled(fingerprint uint64, endpoint model.EndpointID)
 }
 
 // Isolator is a Balancer that can keep an endpoint for one request.
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -324,6 +324,12 @@
 	if play(t, p, r, func(cancel func()) { time.AfterFunc(time.Second, cancel) }, hang); p.crashes != 0 {
 		t.Error("a cancelled attempt was reported as a crash")
 	}
+	for _, err := range []error{dispatch.ErrNotSent, dispatch.ErrRefused} {
+		p = &parts{}
+		if play(t, p, r, nil, fail(err)); p.cancelled == 0 || p.crashes != 0 {
+			t.Errorf("%v: %d attempts without a verdict, %d crashes", err, p.cancelled, p.crashes)
+		}
+	}
 }
 
 // Guards against fingerprints that differ by the key or agree between
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -31,6 +31,7 @@
 	verdict     dispatch.Verdict
 	running     int // of the quarantine
 	crashes     int
+	cancelled   int
 	alone       int
 }
 
@@ -166,6 +167,13 @@
 	}
 }
 
+func (p *parts) Cancelled(uint64, model.EndpointID) {
+	p.mu.Lock()
+	p.running--
+	p.cancelled++
+	p.mu.Unlock()
+}
+
 // Endings of a Send.
 func status(code int) func(context.Context) (*dispatch.Response, error) {
 	return func(context.Context) (*dispatch.Response, error) {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -107,7 +107,7 @@
 		s.cause = context.Cause(ctx)
 	}
 	if q := d.cfg.Quarantine; q != nil {
-		q.Finished(x.fingerprint, to.ID, s.cause == nil && errors.Is(s.err, ErrInterrupted))
+		x.tell(q, to.ID, s)
 	}
 	if s.cause == nil && !errors.Is(s.err, ErrRefused) {
 		// A cancelled attempt shows nothing about the service, a refusal only load.
@@ -118,6 +118,18 @@
 	return s
 }
 
+// tell ends an attempt in the quarantine.
+func (x *exchange) tell(q Quarantine, to model.EndpointID, s sent) {
+	switch {
+	case s.err == nil:
+		q.Finished(x.fingerprint, to, false)
+	case s.cause == nil && errors.Is(s.err, ErrInterrupted):
+		q.Finished(x.fingerprint, to, true)
+	default:
+		q.Cancelled(x.fingerprint, to)
+	}
+}
+
 // known maps a result outside a Transport's contract to the error that promises
 // least.
 func known(r *Response, err error) error {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -110,9 +110,12 @@
 	SuspicionRefuted = Event{602, "own suspicion refuted", zerolog.InfoLevel,
 		"Others suspected this instance and it has told them that it lives.",
 		"If it repeats: check the load and the network of this instance."}
-	MemberStates = Event{603, "member states changed", zerolog.InfoLevel,
-		"Members have changed their state; detail names them.",
-		"If a whole failure domain is dead: check its network and power."}
+	MemberDead = Event{603, "member dead", zerolog.InfoLevel,
+		"A member has not refuted its suspicion, or has left the platform's list.",
+		"None for a single one; the platform replaces it. If a whole failure domain is dead: check its network and power."}
+	MemberBack = Event{609, "member back", zerolog.InfoLevel,
+		"A member that was dead takes part again.",
+		"None."}
 	Distrust = Event{604, "own measurements distrusted", zerolog.WarnLevel,
 		"Over half of the neighbours do not answer. The fault is likely here, so the last view stays in use.",
 		"Check the network of this instance."}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -182,6 +182,14 @@
 	q.evaluate()
 }
 
+// Cancelled ends what Started began without a report: the request did not reach
+// the endpoint, was refused or was cancelled. It clears no suspect.
+func (q *Quarantine) Cancelled(fingerprint uint64, e model.EndpointID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.leave(fingerprint, e)
+}
+
 func (q *Quarantine) leave(fp uint64, e model.EndpointID) {
 	l := q.inFlight[e]
 	if l == nil {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -235,6 +235,25 @@
 	expect(4, Refuse)
 }
 
+// Guards against clearing a suspect by an attempt that did not reach its
+// endpoint: a request that crashed one endpoint after another was sent to the
+// dead ones too, and all 12 of a fleet crashed.
+func TestCancelledAttemptClearsNothing(t *testing.T) {
+	f := newFleet(1, 1, 1)
+	q := f.instances[0]
+	for _, e := range []model.EndpointID{"a", "b", "c"} {
+		f.clock = f.clock.Add(3 * time.Second)
+		q.Started(1, e)
+		q.Finished(1, e, true)
+		q.Started(1, e)
+		q.Cancelled(1, e)
+	}
+	f.clock = f.clock.Add(settleTime)
+	if v := q.Check(1); v != Refuse {
+		t.Errorf("after 3 crashes: verdict %d, want refuse", v)
+	}
+}
+
 // Guards against refusing a request before the reports of other instances
 // about the same crash have arrived.
 func TestLateReports(t *testing.T) {
