configsync: confirm edits against the store; a starting relay has no vote

An edit counted the answer of a relay that restarted before the others had answered, while the store was restored; by then the edit was neither in the store nor at a majority. An edit is now accepted only if the store still has it after the majority has confirmed it, at the cost of one read.

A relay that restarted took the document of a neighbour on a losing branch and then counted it as its own vote, which overruled an accepted edit. A relay that has not yet compared its document with the store no longer votes.

--- a/internal/configsync/confirm.go
+++ b/internal/configsync/confirm.go
@@ -6,29 +6,30 @@
 )
 
 // confirm gives the written document to the relays until more than half have
-// it in force and none has another branch. If it forked from another one,
-// a relay issues one of the two again; the store then shows which was
-// overruled. The base saves most of the transfer and may be zero.
+// it in force, none has another branch, and the store still has it: a relay
+// that restarts after its answer has the document again only if the store
+// does. If the document forked from another one, a relay issues one of the two
+// again; the store then shows which was overruled. The base saves most of the
+// transfer and may be zero.
 func (e *Editor) confirm(ctx context.Context, r Request, base, doc Document) Result {
 	for failures := 0; ; failures++ {
 		detail := e.offer(ctx, base, doc)
-		if detail == "" {
+		_, current, err := read(ctx, e.Store)
+		fate := current.fateOf(r.EditID)
+		switch {
+		case err == nil && fate == fateOverruled:
+			return *e.conflict(ctx, r, current)
+		case err == nil && fate == fateContained && detail == "":
 			e.keepHistory(ctx, doc)
 			return Result{Outcome: Accepted, Head: doc.headOf(r)}
+		case err == nil && fate == fateContained:
+			base, doc = Document{}, current
+		case detail == "":
+			detail = fmt.Sprintf("more than half of the relays have revision %d, but the store does not confirm it", doc.Revision)
 		}
 		if e.wait(ctx, failures) != nil {
 			return Result{Outcome: Unknown, Head: doc.Head, Detail: detail}
 		}
-		_, current, err := read(ctx, e.Store)
-		if err != nil {
-			continue
-		}
-		switch current.fateOf(r.EditID) {
-		case fateContained:
-			base, doc = Document{}, current
-		case fateOverruled:
-			return *e.conflict(ctx, r, current)
-		}
 	}
 }
 
--- a/internal/configsync/driver.go
+++ b/internal/configsync/driver.go
@@ -191,7 +191,9 @@
 // resolve ends a fork between the store and this relay. An accepted document
 // is in force at more than half of the relays, so that the branch of a
 // majority wins. Without a majority the relay asks again, and after forkGrace
-// the branch of more relays wins; of as many, the store's.
+// the branch of more relays wins; of as many, the store's. A relay that has
+// just started has its document from any neighbour, so that its own does not
+// count.
 func (d *Driver) resolve(ctx context.Context, kv store.KeyValue, stored, local Document) (store.Revision, error) {
 	if !d.IsRelay() {
 		return kv.Revision, nil
@@ -201,7 +203,10 @@
 		d.forkSince = now
 	}
 	answers, asked := d.Fleet.Heads(ctx)
-	ours, theirs := 1, 0
+	ours, theirs := 0, 0
+	if d.State.Informed() {
+		ours = 1
+	}
 	for _, a := range answers {
 		switch {
 		case a.Head.builtOn(local.Head):
