--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -25,9 +25,6 @@
 	// maxUtilization bounds a report, so that one misleading report cannot
 	// exclude an endpoint: it costs at most a factor of 1 / (1 - 0.9) = 10.
 	maxUtilization = 0.9
-	// overdueFactor is how many times the latency estimate an answer has to be
-	// late to count. Service times vary by about that.
-	overdueFactor = 3
 	// slowFactor is how many times the mean latency makes an endpoint slow.
 	slowFactor = 1.5
 	// silencePause is how long an endpoint that did not answer is set aside. It
@@ -46,11 +43,8 @@
 	gone     bool
 
 	outstanding int
-	// waitingSince is when the oldest wait for an answer began that the instance
-	// knows of: the first outstanding request, or the last answer.
-	waitingSince time.Time
-	alone        bool
-	rampStart    time.Time
+	alone       bool
+	rampStart   time.Time
 
 	latency     float64 // ns, 0 before the first measurement
 	measuredAt  time.Time
@@ -71,9 +65,6 @@
 // start counts a request. Picking an ejected endpoint makes the request its
 // probe.
 func (e *endpoint) start(now time.Time) {
-	if e.outstanding == 0 {
-		e.waitingSince = now
-	}
 	e.outstanding++
 	if e.ejected && e.probeDue(now) {
 		e.probing = true
@@ -153,7 +144,6 @@
 }
 
 func (e *endpoint) observeAnswer(now time.Time, o dispatch.Observation) {
-	e.waitingSince = now
 	e.suspect = false
 	e.inARow = 0
 	e.failures -= failureWeight * e.failures
@@ -279,25 +269,11 @@
 	return w*e.utilization + (1-w)*e.pool.utilization
 }
 
-// expectedLatency is the latency estimate, or the time for which the endpoint
-// has owed an answer if that is much longer: a lost endpoint shows by that before
-// any request to it fails.
-func (e *endpoint) expectedLatency(now time.Time) float64 {
-	l := e.latencyAt(now)
-	if e.outstanding == 0 {
-		return l
-	}
-	if waited := float64(now.Sub(e.waitingSince)); waited > overdueFactor*l {
-		return waited
-	}
-	return l
-}
-
 // cost is what a further request there is expected to cost; the lower the
 // better. A report can only raise it.
 func (e *endpoint) cost(now time.Time) float64 {
 	c := float64(e.outstanding+1) / float64(max(1, e.Slots))
-	c *= e.expectedLatency(now)
+	c *= e.latencyAt(now)
 	c /= 1 - e.utilizationAt(now)
 	return c / (1.01 - e.failureRate(now))
 }
