ledger: a witness seals only keys of known epochs

A caller could invent a key of a later epoch or incarnation while the owner was unreachable. Ruled out: a limit by time, because full epochs end early. Members now tells which epochs an instance may have handed out; the list of entries has them in the prefixes.

--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -132,6 +132,8 @@
 	return "", false
 }
 
+func (member) Known(model.InstanceID, model.Incarnation, uint64) bool { return true }
+
 func (m member) Entries(netip.Addr) []Entry {
 	m.f.mu.Lock()
 	defer m.f.mu.Unlock()
--- a/internal/ledger/register.go
+++ b/internal/ledger/register.go
@@ -39,6 +39,9 @@
 	VerdictFull
 	// VerdictMismatch means that the key was used with another body.
 	VerdictMismatch
+	// VerdictUnheard means that the owner is not known to have handed out keys
+	// of this incarnation and epoch.
+	VerdictUnheard
 )
 
 const (
@@ -134,10 +137,14 @@
 }
 
 // query tells what is known of a key and seals it if it has no intent. The
-// fingerprint is compared unless anyBody is set.
-func (r *register) query(now time.Time, k Key, id ID, fp uint64, anyBody bool) (Verdict, *Result) {
-	s, v := r.find(now, k, id, true)
+// fingerprint is compared unless anyBody is set. Only a key of a known epoch is
+// sealed: the seal of an invented later epoch would, when it is discarded,
+// raise the floor above the owner's real keys.
+func (r *register) query(now time.Time, k Key, id ID, fp uint64, anyBody, known bool) (Verdict, *Result) {
+	s, v := r.find(now, k, id, known)
 	switch {
+	case s == nil && v == VerdictNone:
+		return VerdictUnheard, nil
 	case s == nil:
 		return v, nil
 	case v == VerdictAccepted:
@@ -154,13 +161,16 @@
 }
 
 // find returns the key's slot. VerdictAccepted means that it is new and still
-// empty. A nil slot comes with the reason.
+// empty. A nil slot comes with the reason, or VerdictNone if it is not created.
 func (r *register) find(now time.Time, k Key, id ID, create bool) (*slot, Verdict) {
 	if k.Witness != r.self || k.WitnessInc != r.inc {
 		return nil, VerdictStranger
 	}
 	r.expire(now)
 	o := r.owners[k.Owner]
+	if o == nil && !create {
+		return nil, VerdictNone
+	}
 	if o == nil {
 		if len(r.owners) >= maxWitnessOwners {
 			return nil, VerdictFull
@@ -177,7 +187,7 @@
 		return b.slots[id], VerdictNone
 	}
 	if !create {
-		return nil, VerdictExpired
+		return nil, VerdictNone
 	}
 	if r.count >= r.max && !r.evict(b) {
 		return nil, VerdictFull
--- a/internal/ledger/remote.go
+++ b/internal/ledger/remote.go
@@ -141,9 +141,7 @@
 		return VerdictStranger, nil
 	}
 	if q.key.Witness == l.cfg.Self {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return l.register.query(time.Now(), q.key, q.id, q.fp, q.lookup)
+		return l.answerQuery(q.key, q.id, q.fp, q.lookup)
 	}
 	args := &QueryArgs{Key: q.key, Fingerprint: q.fp, AnyBody: q.lookup}
 	reply := &QueryReply{}
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -88,9 +88,7 @@
 
 // Query serves an instance that cannot reach the holder of a key.
 func (s *Service) Query(a *QueryArgs, reply *QueryReply) error {
-	s.l.mu.Lock()
-	defer s.l.mu.Unlock()
-	reply.Verdict, reply.Result = s.l.register.query(time.Now(), a.Key, IDOf(a.Key.String()), a.Fingerprint, a.AnyBody)
+	reply.Verdict, reply.Result = s.l.answerQuery(a.Key, IDOf(a.Key.String()), a.Fingerprint, a.AnyBody)
 	return nil
 }
 
--- a/internal/ledger/sim_test.go
+++ b/internal/ledger/sim_test.go
@@ -128,6 +128,14 @@
 	return s, ok
 }
 
+// Known knows the incarnations that ever ran, and their epochs.
+func (n *node) Known(id model.InstanceID, inc model.Incarnation, epoch uint64) bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	other := n.w.nodes[id]
+	return other != nil && inc <= other.inc && epoch < 1000
+}
+
 func (w *world) isCut(a, b model.InstanceID) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/ledger/unit_test.go
+++ b/internal/ledger/unit_test.go
@@ -169,6 +169,33 @@
 	})
 }
 
+// Guards against a caller that invents keys of later epochs or incarnations, so
+// that the witness refuses the owner's real ones.
+func TestInventedKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld()
+		a, b := w.node("a").l, w.node("b").l
+		real := Key{Owner: "a", OwnerInc: w.node("a").inc, Witness: "c", WitnessInc: w.node("c").inc, Random: "x"}
+		w.cut[[2]model.InstanceID{"b", "a"}] = time.Now().Add(time.Minute)
+		later, next := real, real
+		later.Epoch, next.OwnerInc = 1<<60, real.OwnerInc+1
+		for _, k := range []Key{later, next, {Owner: "nobody", Witness: "c", WitnessInc: real.WitnessInc, Random: "x"}} {
+			if _, _, err := b.Begin(context.Background(), k.String(), 1); reasonOf(err) != ReasonHolderLost {
+				t.Errorf("key %v: %v", k, err)
+			}
+		}
+		time.Sleep(witnessRetention + time.Minute)
+		a.Prefix()
+		real.Epoch = a.book.own().epoch
+		if err := mustBegin(t, a, real.String()).Intent(context.Background()); err != nil {
+			t.Errorf("real key after invented ones: %v", err)
+		}
+		if n := len(w.node("c").l.register.owners); n != 1 {
+			t.Errorf("%d owners at the witness, want 1", n)
+		}
+	})
+}
+
 // Guards against losing recorded outcomes on a planned stop, and against the
 // stopped instance or a second successor taking keys again.
 func TestHandOver(t *testing.T) {
