--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,7 +55,7 @@
 	rpc     *peer.Server
 	members *membership.Node
 	listing listingCache
-	past    successors
+	past    incarnations
 	notices *membership.Notices
 
 	rules       *configsync.State
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -70,7 +70,7 @@
 	defer tick.Stop()
 	started := time.Now()
 	var announced time.Time
-	var shape uint64
+	var shape, seq uint64
 	for {
 		select {
 		case <-ctx.Done():
@@ -86,9 +86,12 @@
 		}
 		announced = now
 		view := d.members.View()
+		if view.Seq != seq {
+			seq = view.Seq
+			d.past.note(now, view.Members)
+		}
 		if view.Shape != shape {
 			shape = view.Shape
-			d.past.note(now, view.Members)
 			d.logStates(view)
 			d.noteRegions(now, view)
 		}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -12,6 +12,7 @@
 
 	"jujubestile.example/jujubestile/internal/capacity"
 	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/ledger"
 	"jujubestile.example/jujubestile/internal/membership"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/platform"
@@ -157,7 +158,17 @@
 	if s, ok := m.d.members.View().Get(id); ok && s.Incarnation == inc && s.Successor != "" {
 		return s.Successor, true
 	}
-	return m.d.past.get(id, inc)
+	return m.d.past.successor(id, inc)
+}
+
+// Known implements ledger.Members.
+func (m ledgerMembers) Known(id model.InstanceID, inc model.Incarnation, epoch uint64) bool {
+	prefix := m.d.past.prefix(id, inc)
+	if s, ok := m.d.members.View().Get(id); ok && s.Incarnation == inc {
+		prefix = s.KeyPrefix
+	}
+	k, ok := ledger.ParseKey(prefix + "0")
+	return ok && epoch <= k.Epoch
 }
 
 // nearest returns a live peer to keep records at: in another failure domain of
@@ -191,50 +202,3 @@
 func pairHash(a, b model.InstanceID) uint64 {
 	return xxhash.Sum64String(string(a) + "/" + string(b))
 }
-
-// successors remembers who holds the records of instances that have stopped,
-// because a restarted instance overwrites its record in the membership.
-type successors struct {
-	mu sync.Mutex
-	m  map[pastInstance]pastSuccessor
-}
-
-type pastInstance struct {
-	id  model.InstanceID
-	inc model.Incarnation
-}
-
-type pastSuccessor struct {
-	id    model.InstanceID
-	since time.Time
-}
-
-// keepSuccessor is longer than the four key epochs of 5 minutes in which a
-// successor is asked for records.
-const keepSuccessor = 25 * time.Minute
-
-func (p *successors) get(id model.InstanceID, inc model.Incarnation) (model.InstanceID, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s, ok := p.m[pastInstance{id, inc}]
-	return s.id, ok
-}
-
-// note takes the successors that members have announced.
-func (p *successors) note(now time.Time, members []*membership.Status) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.m == nil {
-		p.m = make(map[pastInstance]pastSuccessor)
-	}
-	for _, s := range members {
-		if s.Successor != "" {
-			p.m[pastInstance{s.ID, s.Incarnation}] = pastSuccessor{s.Successor, now}
-		}
-	}
-	for k, s := range p.m {
-		if now.Sub(s.since) > keepSuccessor {
-			delete(p.m, k)
-		}
-	}
-}
