lookup, peer: tests that fail when their mechanism is taken out

TestCallContext passed without deadlines at the server, because the connection was closed as silent. One condition in the build of the lookup table had no effect and is removed.

--- a/internal/lookup/cut.go
+++ b/internal/lookup/cut.go
@@ -87,7 +87,8 @@
 }
 
 // close ends the innermost open block; the range after it belongs to the
-// block around it, or to none.
+// block around it, or to none. If that block ends there as well, closing it
+// replaces the range.
 func (c *cutter[A]) close() {
 	last := c.innermostLast()
 	c.open = c.open[:len(c.open)-1]
@@ -99,7 +100,6 @@
 		c.emit(after, owner{bits: noBlock})
 		return
 	}
-	if outer := c.open[len(c.open)-1]; c.innermostLast() != last {
-		c.emit(after, owner{outer.region, outer.bits})
-	}
+	outer := c.open[len(c.open)-1]
+	c.emit(after, owner{outer.region, outer.bits})
 }
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -235,10 +235,13 @@
 func TestOrder(t *testing.T) {
 	view := fleet(60)
 	set := &rules.Set{
-		Callers:        []rules.CallerBlock{{Prefix: netip.MustParsePrefix("20.0.0.0/8"), Region: "r1"}, {Prefix: netip.MustParsePrefix("20.0.0.0/10"), Region: "r2"}},
+		Callers:        []rules.CallerBlock{{Prefix: netip.MustParsePrefix("20.0.0.0/8"), Region: "r1"}},
 		DrainInstances: map[model.InstanceID]bool{view.Members[2].ID: true},
 		DrainDomains:   map[model.Domain]bool{},
 	}
+	for i := range 2000 {
+		set.Callers = append(set.Callers, rules.CallerBlock{Prefix: netip.PrefixFrom(callerAt(i), 24).Masked(), Region: "r2"})
+	}
 	bad := map[model.InstanceID]bool{view.Members[2].ID: true, view.Members[5].ID: true, view.Members[8].ID: true}
 	view.Members[5].State = membership.StateLeaving
 	view.Members[8].State = membership.StateDead
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -29,7 +29,7 @@
 
 func (w *Waiting) SetCallContext(ctx context.Context) { w.ctx = ctx }
 
-type Echo struct{ ran atomic.Int64 }
+type Echo struct{ ran, ended atomic.Int64 }
 
 func (e *Echo) Say(in Text, out *Text) error   { e.ran.Add(1); out.S = in.S; return nil }
 func (e *Echo) Panic(in Text, out *Text) error { panic("broken method") }
@@ -39,6 +39,7 @@
 	return nil
 }
 func (e *Echo) Wait(in *Waiting, out *Text) error {
+	defer e.ended.Add(1)
 	select {
 	case <-time.After(in.For):
 		out.S = "time"
@@ -335,7 +336,7 @@
 // against losing the caller's trace.
 func TestCallContext(t *testing.T) {
 	ln := listen(t, "127.0.0.1:0")
-	_, _ = serve(t, ln, ServerOptions{})
+	_, e := serve(t, ln, ServerOptions{})
 	p := pool(t, ln.Addr().String(), PoolOptions{})
 	id := trace.TraceID{1, 2, 3}
 	sc := trace.NewSpanContext(trace.SpanContextConfig{TraceID: id, SpanID: trace.SpanID{4}, TraceFlags: trace.FlagsSampled})
@@ -343,10 +344,15 @@
 	if err := p.Call(trace.ContextWithSpanContext(context.Background(), sc), "a", "Echo.Trace", &Waiting{}, &out); err != nil || out.S != id.String() {
 		t.Errorf("trace %q, %v, want %v", out.S, err, id)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
+	time.AfterFunc(50*time.Millisecond, func() { _, _ = say(p, "x", time.Second) })
 	_ = p.Call(ctx, "a", "Echo.Wait", &Waiting{For: time.Hour}, &out)
-	// The cleanup of serve waits for the method, which would take an hour.
+	// The other call keeps the connection, which would end the method as well.
+	waitFor(t, "end of the method at its deadline", func() bool { return e.ended.Load() == 1 })
+	if p.Stats()["connections_silent"] != 0 {
+		t.Error("the connection was taken for a silent one")
+	}
 }
 
 func BenchmarkCall(b *testing.B) {
