--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -49,6 +49,8 @@
 
 // Guards against any difference from a scan of all blocks: nested and equal
 // blocks, the bounds of blocks and of the address space, both address kinds.
+// Fails without the end of the address space, the outer block after an inner
+// one, the order of equal blocks, or a monotonic index.
 func TestLookupEqualsScan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		blocks := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) rules.CallerBlock {
@@ -77,7 +79,7 @@
 }
 
 // Guards against IPv4 callers in IPv6 form, as a dual-stack socket shows them,
-// that miss their block.
+// that miss their block. Fails if blocks are not unmapped.
 func TestMappedAddresses(t *testing.T) {
 	table := NewTable([]rules.CallerBlock{{Prefix: netip.MustParsePrefix("10.1.0.0/16"), Region: "a"}, {Prefix: netip.MustParsePrefix("::ffff:10.2.0.0/112"), Region: "b"}})
 	for addr, want := range map[string]model.Region{"::ffff:10.1.2.3": "a", "10.2.0.1": "b", "10.3.0.1": ""} {
@@ -198,7 +200,8 @@
 }
 
 // Guards against callers that gather at few instances, and against a change of
-// the members that moves callers of others.
+// the members that moves callers of others. Fails without the block in the
+// hash, with a hash that depends on the number of members, or without weights.
 func TestSpread(t *testing.T) {
 	view := fleet(21)
 	all := firsts(directory(view, &rules.Set{}))
@@ -231,7 +234,9 @@
 
 // Guards against naming instances that take no callers, against the wrong
 // order of regions, and against answers that one failure domain or region can
-// take away.
+// take away. Fails without any of: the states, either kind of drain, the order
+// of regions, the last place for another region, the second failure domain,
+// the fifth instance of a lone region.
 func TestOrder(t *testing.T) {
 	view := fleet(60)
 	set := &rules.Set{
@@ -285,7 +290,8 @@
 	}
 }
 
-// Guards against bodies and errors that callers cannot read.
+// Guards against bodies and errors that callers cannot read. Fails without the
+// answer 503 and if a new view is not picked up.
 func TestHandler(t *testing.T) {
 	view := fleet(20)
 	s := NewService(func() *membership.View { return view })
--- a/internal/membership/gossip_test.go
+++ b/internal/membership/gossip_test.go
@@ -9,7 +9,8 @@
 	"jujubestile.example/jujubestile/internal/model"
 )
 
-// Guards against news that does not reach all instances within 1 s.
+// Guards against news that does not reach all instances within 1 s. Fails if
+// changes are not announced to waiting neighbours, or not passed on.
 func TestDrainSpreads(t *testing.T) {
 	for _, size := range []int{20, 100, 500} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
@@ -41,7 +42,8 @@
 }
 
 // Guards against a suspicion that its subject does not withdraw, and against
-// taking a member out of use for one broken path.
+// taking a member out of use for one broken path. Fails without refutations
+// and, in the second part, without asking other members.
 func TestFalseAlarmIsWithdrawn(t *testing.T) {
 	simulate(t, 20, nil, func(c *cluster) {
 		n := c.nodes["r0-3"]
@@ -77,9 +79,10 @@
 	return near[0]
 }
 
-// Guards against a process that was paused and stays dead for the others
-// after it runs again, and against its own view breaking down. The pause starts
-// in the middle of all long polls, so that only pings can detect it in time.
+// Guards against a process that was paused and stays dead for the others after
+// it runs again, and against its own view breaking down. The pause starts in
+// the middle of all long polls, so that only pings can detect it in time.
+// Fails without pings, refutations or distrust.
 func TestPauseAndReturn(t *testing.T) {
 	simulate(t, 20, nil, func(c *cluster) {
 		time.Sleep(pollWait / 2)
@@ -102,7 +105,8 @@
 // Guards against islands that stay apart after regions lost each other for a
 // minute, when each side still has the records of the other one as dead, or
 // for an hour, when it has none; and against members that look dead to their
-// own region while the islands join.
+// own region while the islands join. Fails without attempts to reach listed
+// members and, for a minute, without DeadAfter for deaths that come by gossip.
 func TestPartitionAndMerge(t *testing.T) {
 	for _, length := range []time.Duration{time.Minute, time.Hour} {
 		t.Run(length.String(), func(t *testing.T) {
@@ -136,7 +140,8 @@
 }
 
 // Guards against a member that no instance has as its neighbour and that stays
-// alive for all of them after it is gone.
+// alive for all of them after it is gone. Fails without pings of random
+// members.
 func TestUnwatchedMember(t *testing.T) {
 	simulate(t, 30, nil, func(c *cluster) {
 		ghost := c.unwatched()
@@ -173,7 +178,8 @@
 }
 
 // Guards against a restarted instance that is taken for its predecessor, and
-// against old messages of that one.
+// against old messages of that one. Fails if records are not ordered by
+// incarnation first.
 func TestRestart(t *testing.T) {
 	simulate(t, 20, nil, func(c *cluster) {
 		old := c.nodes["r0-0"].self()
@@ -197,7 +203,7 @@
 }
 
 // Guards against trusting the own measurement when most neighbours look dead,
-// and against never trusting it when some are.
+// and against never trusting it when some are. Fails without distrust.
 func TestHalfOfNeighboursSilent(t *testing.T) {
 	simulate(t, 30, nil, func(c *cluster) {
 		n := c.nodes["r0-0"]
--- a/internal/membership/notices_test.go
+++ b/internal/membership/notices_test.go
@@ -10,7 +10,9 @@
 )
 
 // Guards against an endpoint that some instances still send work to 2 s after
-// one of them has learned that it leaves, and the same for its return.
+// one of them has learned that it leaves, and the same for its return. Fails
+// if merged news is not passed on; it passes with either pushes or answers to
+// polls alone.
 func TestNoticesSpread(t *testing.T) {
 	all := map[*Notices]bool{}
 	topics := func() []Topic {
@@ -39,7 +41,8 @@
 }
 
 // Guards against notices that end differently by the order of messages, and
-// against news that does not make two instances equal.
+// against news that does not make two instances equal. Fails without the rule
+// for equal versions.
 func TestNoticesMerge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
@@ -68,7 +71,8 @@
 }
 
 // Guards against old notices that come back after they were dropped or win
-// over newer ones, and against malformed news.
+// over newer ones, and against malformed news. Fails without the age limit in
+// Merge, and with a version that only counts.
 func TestNoticesExpire(t *testing.T) {
 	old, fresh := NewNotices(nil), NewNotices(nil)
 	old.Report(time.Now().Add(-NoticeTTL-time.Second), "x", true)
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -59,7 +59,8 @@
 
 // Guards against tables that depend on the order, grouping or repetition of
 // messages, so that instances would disagree for ever. The naive model keeps
-// the largest record by a list of its fields.
+// the largest record by a list of its fields. Fails if the last record wins,
+// or without the order by content.
 func TestMergeIsAJoin(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		list := drawMembers(t)
@@ -105,9 +106,10 @@
 
 // Guards against records that the counters or the digests fail to transfer:
 // whatever two tables contain, one comparison of digests makes them equal, and
-// the counters then carry each later change to the other side. Dead members are
-// not in the digests, so that a change may show that the tables differed in
-// one; the next comparison then transfers it.
+// the counters then carry each later change to the other side. Dead members
+// are not in the digests, so that a change may show that the tables differed
+// in one; the next comparison then transfers it. Fails if digests leave out a
+// field, or if the log of changes is not used.
 func TestTablesBecomeEqual(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := newTable(), newTable()
@@ -154,7 +156,8 @@
 }
 
 // Guards against messages over the bound of package peer, which would never
-// arrive, when many members with long names are transferred.
+// arrive, when many members with long names are transferred. Fails without
+// either bound.
 func TestRecordsFitIntoMessages(t *testing.T) {
 	a, b, c := newTable(), newTable(), newTable()
 	long := strings.Repeat("x", maxNameBytes-10)
@@ -195,7 +198,8 @@
 }
 
 // Guards against a death that shows before its subject could refute it, and
-// against a tombstone that is dropped early or kept for ever.
+// against a tombstone that is dropped early or kept for ever. Fails without
+// DeadAfter for deaths that come by gossip, and without TombstoneTTL.
 func TestStatesOverTime(t *testing.T) {
 	x := newTable("a", "b")
 	at := func(d time.Duration) State {
@@ -225,7 +229,7 @@
 }
 
 // Guards against a process that declares others dead for the time in which it
-// was itself stopped.
+// was itself stopped. Fails if the gap is ignored.
 func TestPauseVoidsMeasurements(t *testing.T) {
 	x := newTable("a", "b", "c")
 	x.Tick(epoch)
@@ -247,6 +251,8 @@
 
 // Guards against removing members for a gap of the platform's list or for a
 // list that is mostly empty, and against keeping those that it has dropped.
+// Fails without ListGrace, the check of the list against the live members, or
+// the removal.
 func TestListRemovesMembers(t *testing.T) {
 	x := newTable("a", "b", "c")
 	list := func(d time.Duration, ids ...model.InstanceID) {
@@ -279,7 +285,8 @@
 }
 
 // Guards against a delayed own message that counts as news, and against a
-// successor process with the same ID going unnoticed.
+// successor process with the same ID going unnoticed. Fails without the
+// refutation or the notice of a successor.
 func TestOwnRecord(t *testing.T) {
 	x := newTable()
 	if x.Merge(epoch, member("self", 0, 9, HealthDead), "a") || x.Self().Version != 1 {
@@ -295,7 +302,8 @@
 }
 
 // Guards against neighbours in one failure domain only, none in another
-// region, and against relays that differ between instances.
+// region, and against relays that differ between instances. Fails if the
+// failure domain is ignored.
 func TestNeighboursAndRelays(t *testing.T) {
 	tables := map[model.InstanceID]*Table{}
 	var all []Member
@@ -338,7 +346,8 @@
 }
 
 // Guards against suspicions while over half of the neighbours fail, and
-// against none while fewer do.
+// against none while fewer do. Fails if two failures of four or more count as
+// too many.
 func TestDistrust(t *testing.T) {
 	x := newTable("a", "b", "c", "d")
 	later := epoch.Add(SuspectAfter)
@@ -362,7 +371,7 @@
 }
 
 // Guards against neighbours by which news does not reach all of 4,900 members,
-// or only in many steps.
+// or only in many steps. Fails without neighbours in other regions.
 func TestGraphAt4900(t *testing.T) {
 	x := newTable()
 	x.remove("self")
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -127,7 +127,8 @@
 
 // Guards against a server that ends or stalls because of bytes that are not
 // ours, a frame that claims to be huge, a connection that sends nothing, or
-// one that stops in the middle of a frame.
+// one that stops in the middle of a frame. Fails without the bound on frames,
+// the header timeout or the message timeout.
 func TestMalformedInput(t *testing.T) {
 	ln := listen(t, "127.0.0.1:0")
 	s, _ := serve(t, ln, ServerOptions{HeaderTimeout: 100 * time.Millisecond, MessageTimeout: 100 * time.Millisecond})
@@ -164,7 +165,7 @@
 }
 
 // Guards against sending or accepting messages over the bound, and against a
-// bound below it.
+// bound below it. Fails without the bound at the sender.
 func TestMessageBound(t *testing.T) {
 	ln := listen(t, "127.0.0.1:0")
 	_, e := serve(t, ln, ServerOptions{})
@@ -180,7 +181,9 @@
 }
 
 // Guards against a panic of a method that ends the process or breaks the
-// connection, and against errors of methods that look like lost calls.
+// connection, and against errors of methods that look like lost calls. Fails
+// without the recovery, and if a second connection is opened while the first
+// one is free.
 func TestMethodFailures(t *testing.T) {
 	ln := listen(t, "127.0.0.1:0")
 	var panicked atomic.Value
@@ -203,6 +206,7 @@
 
 // Guards against calls that outlast their deadline on a connection that went
 // silent, and against using that connection again although a new one works.
+// Fails if the connection is not retired, or if calls ignore their deadline.
 func TestSilentConnection(t *testing.T) {
 	ln := listen(t, "127.0.0.1:0")
 	serve(t, ln, ServerOptions{})
@@ -226,7 +230,8 @@
 }
 
 // Guards against a connection that does not read: the write blocks, and other
-// calls must still end by their deadlines.
+// calls must still end by their deadlines. Fails if messages are written by
+// the calling goroutine.
 func TestBlockedWrite(t *testing.T) {
 	p := pool(t, "127.0.0.1:1", PoolOptions{Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
 		conn, _ := net.Pipe()
@@ -249,7 +254,8 @@
 
 // Guards against a pool that does not recover when the other process was
 // replaced, that hammers an address where nothing listens, or that reports a
-// call as possibly run that was never sent.
+// call as possibly run that was never sent. Fails without backoff, or without
+// ErrNotSent.
 func TestServerReplaced(t *testing.T) {
 	ln := listen(t, "127.0.0.1:0")
 	addr := ln.Addr().String()
@@ -280,7 +286,9 @@
 }
 
 // Guards against more connections, or more calls in flight, than allowed, and
-// against a pool that dials without pause while the server is full.
+// against a pool that dials without pause while the server is full. Fails
+// without either bound, or without backoff after connections that close at
+// once.
 func TestBounds(t *testing.T) {
 	ln := listen(t, "127.0.0.1:0")
 	s, _ := serve(t, ln, ServerOptions{MaxConns: 1})
@@ -314,7 +322,8 @@
 }
 
 // Guards against memory for each instance that was ever called, and against
-// forgetting one that is in use.
+// forgetting one that is in use. Fails without dropUnused, and if that forgets
+// instances in use.
 func TestForgetsUnusedPeers(t *testing.T) {
 	ln := listen(t, "127.0.0.1:0")
 	serve(t, ln, ServerOptions{})
@@ -333,7 +342,8 @@
 }
 
 // Guards against methods that run on after their caller has given up, and
-// against losing the caller's trace.
+// against losing the caller's trace. Fails without the deadline or the trace
+// in the header.
 func TestCallContext(t *testing.T) {
 	ln := listen(t, "127.0.0.1:0")
 	_, e := serve(t, ln, ServerOptions{})
