Make the policy figures repeat under load too

synctest fires timers of the same instant in random order. A waiting request that is done no longer looks for free slots first.

--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -62,13 +62,9 @@
 	freed := t.q.router.Freed(t.need.Service)
 	poll := time.NewTimer(t.q.nextPoll(time.Now(), t))
 	defer poll.Stop()
-	for {
+	for !t.isDone() {
 		select {
 		case <-t.done:
-			if t.refusal != nil {
-				return nil, t.refusal
-			}
-			return t, nil
 		case <-freed:
 			t.q.serve(time.Now())
 		case <-poll.C:
@@ -79,6 +75,20 @@
 			return nil, cancelled(ctx)
 		}
 	}
+	if t.refusal != nil {
+		return nil, t.refusal
+	}
+	return t, nil
+}
+
+// isDone reports whether a waiting ticket was granted or refused.
+func (t *ticket) isDone() bool {
+	select {
+	case <-t.done:
+		return true
+	default:
+		return false
+	}
 }
 
 func cancelled(ctx context.Context) error {
--- a/internal/policytest/router.go
+++ b/internal/policytest/router.go
@@ -20,6 +20,7 @@
 	free    map[model.Region]int
 	routers []*router
 	first   int // whom signalWaiting signals first
+	later   int // nanoseconds added to the next ReleaseAt
 	// held is the slot time by priority between from and to.
 	held     map[model.Priority]time.Duration
 	from, to time.Time
@@ -140,9 +141,15 @@
 	}
 }
 
-// ReleaseAt implements dispatch.Slot.
+// ReleaseAt implements dispatch.Slot. No two slots return at the same instant:
+// synctest fires timers of one instant in random order.
 func (s *slot) ReleaseAt(t time.Time) {
-	time.AfterFunc(time.Until(t), s.Release)
+	all := s.router.all
+	all.mu.Lock()
+	all.later = (all.later + 1) % 1000
+	delay := time.Until(t) + time.Duration(all.later)
+	all.mu.Unlock()
+	time.AfterFunc(delay, s.Release)
 }
 
 // overlap is the part of begin to end that lies between from and to.
--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -29,6 +29,7 @@
 	naiveLimit   = 3 // slots an instance of the baseline: 60 on 48
 	callerRetry  = 3 // most attempts of a caller
 	callerBudget = 0.1
+	callerJitter = 10 * time.Millisecond
 )
 
 // patience is how long a caller waits in all.
@@ -171,11 +172,27 @@
 	a := admission.New(r)
 	a.SetMinimum(w.s.minimum)
 	d := dispatch.New(dispatch.Config{
-		Region: t.region, Admission: a, Balancer: b, Transport: t, Retry: retry.NewPolicy(rnd(2)),
+		Region: t.region, Admission: &spacedAdmission{Admission: a}, Balancer: b, Transport: t, Retry: retry.NewPolicy(rnd(2)),
 	})
 	return &node{id: id, do: d, balancer: b, product: d, prober: t}
 }
 
+// spacedAdmission lets the requests that got slots at the same instant go on at
+// different ones: synctest fires timers of one instant in random order, and the
+// figures are to repeat.
+type spacedAdmission struct {
+	dispatch.Admission
+	granted atomic.Int64
+}
+
+func (a *spacedAdmission) Admit(ctx context.Context, n dispatch.Need) (dispatch.Permit, error) {
+	p, err := a.Admission.Admit(ctx, n)
+	if err == nil {
+		time.Sleep(time.Duration(a.granted.Add(1) % 1000))
+	}
+	return p, err
+}
+
 func (w *world) list() []model.Endpoint {
 	var l []model.Endpoint
 	for _, e := range w.order {
@@ -299,7 +316,7 @@
 	for n := range callerRetry {
 		r.Attempt = n
 		res = w.nodes[(at+n)%instances].do.Do(ctx, r, claim{})
-		if !w.again(ctx, r, res) {
+		if !w.again(ctx, r, res, u) {
 			break
 		}
 	}
@@ -312,15 +329,21 @@
 // again reports whether a caller repeats a request that was not run. Callers
 // of the product obey Retry-After and a budget; those of the baseline repeat
 // whatever is safe after 10 ms.
-func (w *world) again(ctx context.Context, r *dispatch.Request, res dispatch.Result) bool {
+func (w *world) again(ctx context.Context, r *dispatch.Request, res dispatch.Result, u float64) bool {
 	if ctx.Err() != nil || res.Outcome == model.OutcomeAnswered {
 		return false
 	}
 	if res.Outcome == model.OutcomeUnknown && !r.Repeatable {
 		return false
 	}
+	// Callers that got their results at the same instant go on one after the
+	// other; else the scheduler decides who gets the last token.
+	jitter := time.Duration(u * float64(callerJitter))
 	if w.naive {
-		return sleep(ctx, 10*time.Millisecond)
+		return sleep(ctx, 10*time.Millisecond+jitter)
+	}
+	if !sleep(ctx, jitter) {
+		return false
 	}
 	left, _ := ctx.Deadline()
 	if time.Until(left) <= res.RetryAfter || !w.withdraw() {
