--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -12,9 +12,10 @@
 	// epochsKept is how many epochs an owner accepts: the current one and the
 	// three before.
 	epochsKept = 4
-	// maxOwnerRecords bounds the records of one set at about 20 MB. Full epochs
-	// end early, at a quarter of it.
-	maxOwnerRecords = 128 << 10
+	// maxOwnerRecords bounds the records of one set at about 13 MB. Full
+	// epochs end early, at a quarter of it: at 500 keyed requests a second an
+	// instance accepts its keys for at least 96 s.
+	maxOwnerRecords = 64 << 10
 	// inheritedRetention is how long the records of a stopped instance are
 	// kept: as long as that instance would have accepted its last epoch.
 	inheritedRetention = epochsKept * epochLength
@@ -56,10 +57,12 @@
 	return !anyBody && !r.anyFP && r.fp != fp
 }
 
-// leave ends the asking or running state.
+// leave ends the asking or running state. Most records stay for minutes after
+// it, so that the channel is given up.
 func (r *record) leave(st state) {
 	r.state = st
 	close(r.changed)
+	r.changed = nil
 }
 
 // source names an incarnation of an owner.
--- a/internal/ledger/register.go
+++ b/internal/ledger/register.go
@@ -49,8 +49,8 @@
 	// (4 x 5 minutes). A witness that discards earlier is still safe: it
 	// refuses intents and answers "expired" for what it discarded.
 	witnessRetention = 25 * time.Minute
-	// maxWitnessRecords bounds the memory of the witness at about 20 MB.
-	maxWitnessRecords = 128 << 10
+	// maxWitnessRecords bounds the memory of the witness at about 12 MB.
+	maxWitnessRecords = 64 << 10
 	// maxWitnessOwners bounds the table of owners, which a caller could
 	// otherwise fill with invented keys. The target fleet has 4,900 instances.
 	maxWitnessOwners = 8 << 10
