entry: record keyed work that a rule declares repeatable

GET /v1/outcomes reported it as not run, because it did not pass the ledger.

ledger: send an intent twice, 400 ms each; a lost message to the witness made the request not run after 1 s.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,8 +33,9 @@
 }
 
 // Dispatcher takes a request to its outcome within the context's deadline. The
-// claim is nil for repeatable work, and for other work without a key, which is
-// then sent at most once.
+// claim is nil without a key and for GET, HEAD and OPTIONS. With a claim its
+// Intent precedes the first attempt. Work that is not repeatable and has no
+// claim is sent at most once.
 type Dispatcher interface {
 	Do(ctx context.Context, r *dispatch.Request, c dispatch.Claim) Result
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -174,6 +174,12 @@
 	if runs != 1 {
 		t.Errorf("%d runs, want 1", runs)
 	}
+	if w := do(h, "POST", "/v1/services/results/search", "", KeyHeader, l.Prefix()+"3"); w.Code != 201 {
+		t.Errorf("repeatable work with a key: %d", w.Code)
+	}
+	if w := do(h, "GET", "/v1/outcomes/"+l.Prefix()+"3", ""); w.Header().Get(OutcomeHeader) != "answered" {
+		t.Errorf("outcome of repeatable work: %v", w.Header())
+	}
 	if w := do(h, "POST", "/v1/services/entries/panic", "", KeyHeader, l.Prefix()+"2"); w.Code != 500 || w.Header().Get(OutcomeHeader) != "unknown" {
 		t.Errorf("panic: %d %v", w.Code, w.Header())
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -36,14 +36,15 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(timeout))
 	defer cancel()
-	if req.Repeatable || req.Key == "" {
+	if req.Key == "" || repeatableMethod(req.Method) {
 		h.relay(w, r, h.cfg.Dispatcher.Do(ctx, req, nil))
 		return
 	}
 	h.keyed(ctx, w, r, req)
 }
 
-// keyed runs a request that may not be repeated under its key.
+// keyed runs a request under its key. Work that a rule declares repeatable is
+// recorded as well, so that GET /v1/outcomes does not report it as not run.
 func (h *Handler) keyed(ctx context.Context, w http.ResponseWriter, r *http.Request, req *dispatch.Request) {
 	fp := model.Fingerprint(req.Service, req.Method, req.Path, req.Body)
 	claim, recorded, err := h.cfg.Ledger.Begin(ctx, req.Key, fp)
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -21,6 +21,15 @@
 	ErrKeyClosed = errors.ConstError("key closed")
 )
 
+const (
+	// intentTimeout bounds one message to the witness: several round trips
+	// between the farthest regions (70 ms each). The caller waits meanwhile.
+	intentTimeout = 400 * time.Millisecond
+	// intentAttempts is how often the message is sent. The witness accepts it
+	// again from the same claim.
+	intentAttempts = 2
+)
+
 // Claim is the right to run one request under its key. It implements
 // dispatch.Claim. Finish must be called exactly once; later calls have no
 // effect.
@@ -91,11 +100,16 @@
 		return l.register.intent(time.Now(), q.key, q.id, t, q.fp)
 	}
 	args := &IntentArgs{Key: q.key, Fingerprint: q.fp, Token: t}
-	reply := &IntentReply{}
-	if err := l.call(ctx, q.key.Witness, "Ledger.Intent", args, reply); err != nil {
-		return VerdictNone
+	for range intentAttempts {
+		ctx, cancel := context.WithTimeout(ctx, intentTimeout)
+		reply := &IntentReply{}
+		err := l.call(ctx, q.key.Witness, "Ledger.Intent", args, reply)
+		cancel()
+		if err == nil {
+			return reply.Verdict
+		}
 	}
-	return reply.Verdict
+	return VerdictNone
 }
 
 // avoid hands out no keys with the witness for a while.
