--- a/internal/capacity/scenario_test.go
+++ b/internal/capacity/scenario_test.go
@@ -115,7 +115,7 @@
 }
 
 // Guards against a repeated or late message that frees slots twice. Without
-// the comparison of counts the lender had -1 slots on loan.
+// the comparison of counts the test saw "3 slots on loan, want 2".
 func TestReturnTwiceHasNoEffect(t *testing.T) {
 	w := settled(t, 1, 1, map[model.Service]int{"entries": 3})
 	l := w.nodes[0]
@@ -148,7 +148,8 @@
 
 // Guards against link parts that sum to more than the budget while one
 // capacity is lowered and another raised. With one sum for all services in
-// place of a sum by service, the random test saw 1.06.
+// place of a sum by service, the random test saw 1.06; without the capacities
+// before they were lowered, 1.08.
 func TestLinkPartsWhileCapacitiesChange(t *testing.T) {
 	w := settled(t, 3, 0, map[model.Service]int{"entries": 9, "results": 3})
 	w.hold = 8 * time.Second
@@ -217,14 +218,15 @@
 
 // reclaimWhile has the second of two instances take the slots of the first,
 // which the platform dropped, while the first does what during says.
-func reclaimWhile(t *testing.T, during func(w *world, cut *node, second int)) {
+func reclaimWhile(t *testing.T, during func(w *world, cut *node, at time.Duration)) {
 	w := settled(t, 2, 0, map[model.Service]int{"entries": 4})
 	cut, other := w.nodes[0], w.nodes[1]
+	other.state.SetMembers(w.clock(other), nil)
 	w.gone[cut.id] = w.now
 	w.hold = 29 * time.Second
-	for second := range 150 {
-		w.advance(time.Second)
-		during(w, cut, second)
+	for at := time.Duration(0); at < 150*time.Second; at += 100 * time.Millisecond {
+		w.advance(100 * time.Millisecond)
+		during(w, cut, at)
 		w.read(other)
 		w.write(other, "ok")
 		w.list(other, 0)
@@ -235,15 +237,20 @@
 // there as missing. Confirmed all the same, it had "6 requests of entries in
 // flight, 4 slots owned".
 func TestNotedHolderIsNotConfirmedByReading(t *testing.T) {
-	reclaimWhile(t, func(w *world, cut *node, _ int) { w.read(cut) })
+	reclaimWhile(t, func(w *world, cut *node, _ time.Duration) { w.read(cut) })
 }
 
 // Guards against a confirmation by an old reading of the platform's list. Taken
 // as new, it led to "6 requests of entries in flight, 4 slots owned".
 func TestOldListConfirmsForLess(t *testing.T) {
-	reclaimWhile(t, func(w *world, cut *node, second int) {
-		if second < 5 {
+	reclaimWhile(t, func(w *world, cut *node, at time.Duration) {
+		// Short requests until just before the last confirmation ends, then
+		// long ones.
+		w.hold = 90 * time.Millisecond
+		if at < 4800*time.Millisecond {
 			w.list(cut, ListLag-50*time.Millisecond)
+		} else if at > 33*time.Second {
+			w.hold = MaxHold - 100*time.Millisecond
 		}
 	})
 }
@@ -252,14 +259,13 @@
 // between. Without the time since the last listing, "6 requests of entries in
 // flight, 4 slots owned".
 func TestNoteIsNotEnoughToReclaim(t *testing.T) {
-	reclaimWhile(t, func(w *world, cut *node, second int) {
-		if second == 10 {
+	reclaimWhile(t, func(w *world, cut *node, at time.Duration) {
+		switch {
+		case at == 10*time.Second:
 			delete(w.gone, cut.id)
-		}
-		if second > 10 && second < 80 {
+		case at > 10*time.Second && at < 80*time.Second:
 			w.list(cut, 0)
-		}
-		if second == 80 {
+		case at == 80*time.Second:
 			w.gone[cut.id] = w.now
 		}
 	})
--- a/internal/capacity/sim_test.go
+++ b/internal/capacity/sim_test.go
@@ -115,7 +115,13 @@
 
 // Guards against more requests in flight than slots, over all instances, and
 // against link parts above the budget, whatever is lost, late, paused,
-// crashed, restarted or changed.
+// crashed, restarted or changed. It failed without the check of the loan's end
+// ("3 requests of results in flight, 2 slots owned", after 12 cases), with loans
+// counted from the answer (4 and 3, 38 cases), with pauses ignored (1 and 0, 425
+// cases), without the wait after a restart (4 and 3, 106 cases), with a reclaim
+// without the note in the record (2 and 1, 44 cases), with slots given up in use
+// (2 and 1, 11 cases) and with loans that end first at the lender (5 and 4, 3
+// cases).
 func TestSlotsInUseNeverExceedOwned(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt, rt, 3, 1, map[model.Service]int{"entries": 4, "results": 2})
--- a/internal/shift/fleet_test.go
+++ b/internal/shift/fleet_test.go
@@ -12,7 +12,9 @@
 
 // Guards against a shift faster than the cap over all instances together, in
 // every window, for random sequences of targets and failed regions, with uneven
-// rates.
+// rates. Bounded by the share at the start of the window and not the smallest
+// one in it, shares rose by 0.0710 with a cap of 0.05; without a margin, by
+// 0.1035 with a cap of 0.1.
 func TestRandomFleetKeepsToCap(t *testing.T) {
 	const period = 2 * time.Second
 	regions := []model.Region{"a", "b", "c"}
@@ -99,3 +101,54 @@
 		}
 	}
 }
+
+// Guards against a new instance that starts from the present shares of a peer,
+// which are up to the cap above those at the start of the peer's window. From
+// the present ones, the share rose by 0.1006.
+func TestReplacedInstanceKeepsToCap(t *testing.T) {
+	const period, fraction = 10 * time.Second, 0.1
+	set := testRules(fraction, period, "a", "b")
+	for _, after := range []time.Duration{period / 2, period, 3 * period / 2, 7 * period / 4, 5 * period / 2} {
+		f := &fleet{}
+		f.add(set, Shares{"a": 1})
+		f.add(set, Shares{"a": 1})
+		run := func(d time.Duration) {
+			for end := f.now + d; f.now < end; f.now += time.Millisecond {
+				f.decide(int(f.now/time.Millisecond)%2, "b", "a")
+			}
+		}
+		run(after)
+		peer := f.limiters[1].Position(epoch.Add(f.now+f.offsets[1]), "s")
+		f.limiters[0] = newLimiter(epoch.Add(f.now+f.offsets[0]), set, peer, 8)
+		run(2*period + after/2)
+		if w, at := f.worst(period, "b"); w > fraction {
+			t.Errorf("replaced after %v: share rose by %.4f in the period that ends at %v", after, w, at)
+		}
+	}
+}
+
+// Guards against a lost region that gets its former share back at once. With
+// losses ignored, 7188 of 10000 requests went to it.
+func TestLostRegionReturnsAtCap(t *testing.T) {
+	const period, fraction = 10 * time.Second, 0.1
+	f := &fleet{}
+	f.add(testRules(fraction, period, "a", "b"), Shares{"a": 0.5, "b": 0.5})
+	run := func(d time.Duration, wish ...model.Region) (toB, n int) {
+		first := len(f.sent)
+		for end := f.now + d; f.now < end; f.now += time.Millisecond {
+			f.decide(0, wish...)
+		}
+		for _, q := range f.sent[first:] {
+			if n++; q.region == "b" {
+				toB++
+			}
+		}
+		return toB, n
+	}
+	run(2*period, "b", "a")
+	f.lose("b")
+	run(period/20, "a")
+	if b, n := run(period, "b", "a"); float64(b) > fraction*float64(n) {
+		t.Errorf("%d of %d requests to the region that returned", b, n)
+	}
+}
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -34,8 +34,8 @@
 }
 
 // Guards against a limiter whose sliding counts differ from the definition on
-// the full list of requests. Without removal of the steps that leave the
-// window it failed after 1 to 20 cases.
+// the full list of requests. With a window that does not slide, the first case
+// failed: "request 2 to a at 14s: limiter false, naive true".
 func TestLimiterEqualsNaive(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		fraction := rapid.SampledFrom([]float64{0, 0.05, 0.1, 0.3, 1}).Draw(rt, "fraction")
@@ -168,9 +168,10 @@
 }
 
 // Guards against a shift faster than the cap over all instances together, in
-// every window of the period: two shifts at once, an instance that is replaced
-// in between, a failed region and its return. All instances are partitioned
-// from each other: they exchange nothing.
+// every window of the period: two shifts at once, all instances replaced one
+// after the other, failed regions and their return, also within a period. With
+// a window that does not slide it failed too. All instances are partitioned from each other: but for the position that a new
+// one takes, they exchange nothing.
 func TestFleetKeepsToCap(t *testing.T) {
 	const period = 10 * time.Second
 	for _, fraction := range []float64{0.05, 0.1, 0.25} {
@@ -189,11 +190,20 @@
 			phase(3*period, "a", "b", "c")
 			phase(2*period, "b", "a")
 			phase(2*period, "c", "b", "a")
-			f.limiters[2].SetShares(epoch.Add(f.now+f.offsets[2]), "s", f.behind("c"))
+			for i := range f.limiters {
+				f.limiters[i] = newLimiter(epoch.Add(f.now+f.offsets[i]), set, f.behind("c"), uint64(i+9))
+				phase(period/5, "c", "b", "a")
+			}
 			phase(3*period, "c", "b", "a")
 			f.lose("a")
 			phase(4*period, "b", "c")
 			phase(4*period, "a", "b", "c")
+			f.lose("b")
+			phase(period/2, "a", "c")
+			phase(2*period, "b", "a", "c")
+			f.lose("b")
+			phase(period/10, "a", "c")
+			phase(2*period, "b", "a", "c")
 			for _, reg := range []model.Region{"a", "b", "c"} {
 				w, at := f.worst(period, reg)
 				t.Logf("%s: largest increase in a period %.4f, at %v", reg, w, at)
