--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -188,6 +188,7 @@
 		Classifier:     entry.ByRules(d.rules.Rules),
 		Directory:      directory{d.lookups},
 		Log:            d.log,
+		Ready:          d.rules.Ready,
 		DefaultTimeout: time.Duration(d.settings.Requests.DefaultTimeout),
 		MaxTimeout:     time.Duration(d.settings.Requests.MaxTimeout),
 	})
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -127,9 +127,14 @@
 
 // alive returns the other instances that take work.
 func (d *Daemon) alive() []*membership.Status {
+	return d.others(membership.StateAlive)
+}
+
+// others returns the other instances in a state.
+func (d *Daemon) others(state membership.State) []*membership.Status {
 	var out []*membership.Status
 	for _, s := range d.members.View().Members {
-		if s.State == membership.StateAlive && s.ID != d.settings.Instance {
+		if s.State == state && s.ID != d.settings.Instance {
 			out = append(out, s)
 		}
 	}
@@ -150,7 +155,12 @@
 
 // Witness implements ledger.Members.
 func (m ledgerMembers) Witness(exclude []model.InstanceID) (model.InstanceID, model.Incarnation, bool) {
-	return m.d.nearest(exclude, false)
+	if id, inc, ok := m.d.nearest(exclude, false); ok {
+		return id, inc, true
+	}
+	// When all instances start together none is ready yet. A key without a
+	// witness could not be answered for after its owner has gone.
+	return m.d.choose(m.d.others(membership.StateLeaving), exclude, false)
 }
 
 // Successor implements ledger.Members.
@@ -176,7 +186,11 @@
 // any. Rendezvous hashing spreads the instances over the peers. With sameFirst
 // a peer of the failure domain is as good as any of the region.
 func (d *Daemon) nearest(exclude []model.InstanceID, sameFirst bool) (model.InstanceID, model.Incarnation, bool) {
-	candidates := slices.DeleteFunc(d.alive(), func(s *membership.Status) bool { return slices.Contains(exclude, s.ID) })
+	return d.choose(d.alive(), exclude, sameFirst)
+}
+
+func (d *Daemon) choose(from []*membership.Status, exclude []model.InstanceID, sameFirst bool) (model.InstanceID, model.Incarnation, bool) {
+	candidates := slices.DeleteFunc(from, func(s *membership.Status) bool { return slices.Contains(exclude, s.ID) })
 	if len(candidates) == 0 {
 		return "", 0, false
 	}
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -86,7 +86,12 @@
 }
 
 func (h *Handler) refuseDraining(w http.ResponseWriter, r *http.Request) {
-	p := newProblem(http.StatusServiceUnavailable, "draining", "This instance is about to stop", "").after(retryElsewhere)
+	h.refuseElsewhere(w, r, newProblem(http.StatusServiceUnavailable, "draining", "This instance is about to stop", ""))
+}
+
+// refuseElsewhere refuses a request and names other instances.
+func (h *Handler) refuseElsewhere(w http.ResponseWriter, r *http.Request, p *Problem) {
+	p.after(retryElsewhere)
 	p.Entries = h.cfg.Directory.Entries(remoteAddr(r))
 	h.refuse(w, r, p)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -90,6 +90,9 @@
 	Classifier Classifier
 	Directory  Directory
 	Log        events.Logger
+	// Ready reports whether the instance takes work; nil means always. Before
+	// that requests are refused as not run.
+	Ready func() bool
 	// DefaultTimeout is the time to the deadline of requests that state none.
 	// Default 10 s.
 	DefaultTimeout time.Duration
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -22,6 +22,10 @@
 		h.refuseDraining(w, r)
 		return
 	}
+	if h.cfg.Ready != nil && !h.cfg.Ready() {
+		h.refuseElsewhere(w, r, newProblem(http.StatusServiceUnavailable, "not-ready", "This instance does not take work yet", ""))
+		return
+	}
 	req, timeout, problem := h.read(w, r)
 	if problem != nil {
 		h.refuse(w, r, problem)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -23,6 +23,11 @@
 	maxHops = 4
 	// transferAttempts is how often a holder is asked whose reply is lost.
 	transferAttempts = 2
+	// transferTimeout bounds each of these. Two of them and the question to
+	// the witness have to fit what a caller has left of its deadline when its
+	// first instance was silent; with 1 s each they did not, and requests that
+	// a paused owner had not begun were reported as unknown.
+	transferTimeout = 300 * time.Millisecond
 )
 
 // Members tells the ledger about the other instances.
--- a/internal/ledger/remote.go
+++ b/internal/ledger/remote.go
@@ -93,7 +93,10 @@
 	args := &TransferArgs{Key: q.key, Fingerprint: q.fp, Token: t, Close: q.lookup}
 	for range transferAttempts {
 		reply := &TransferReply{}
-		if err := l.call(ctx, holder, "Ledger.Transfer", args, reply); err == nil {
+		bounded, cancel := context.WithTimeout(ctx, transferTimeout)
+		err := l.call(bounded, holder, "Ledger.Transfer", args, reply)
+		cancel()
+		if err == nil {
 			return reply, true
 		}
 	}
--- a/internal/proctest/load_test.go
+++ b/internal/proctest/load_test.go
@@ -23,8 +23,10 @@
 
 	mu       sync.Mutex
 	outcomes map[string]model.Outcome
-	foreign  []string
-	slowest  time.Duration
+	// errs says why requests were not answered.
+	errs    map[string]error
+	foreign []string
+	slowest time.Duration
 }
 
 // loadTimeout is the deadline of each request.
@@ -32,7 +34,7 @@
 
 // startLoad sends rate requests a second until finish.
 func startLoad(t *testing.T, f *fleet, rate int) *load {
-	l := &load{t: t, outcomes: make(map[string]model.Outcome)}
+	l := &load{t: t, outcomes: make(map[string]model.Outcome), errs: make(map[string]error)}
 	var bootstrap []string
 	for _, p := range f.entries {
 		bootstrap = append(bootstrap, p.entryAddr)
@@ -79,6 +81,9 @@
 	defer l.mu.Unlock()
 	l.slowest = max(l.slowest, took)
 	l.outcomes[work] = outcomeOf(err)
+	if err != nil {
+		l.errs[work] = fmt.Errorf("after %s: %w", took.Round(time.Millisecond), err)
+	}
 	if err == nil && (string(resp.Body) != fmt.Sprintf("POST /entry?n=%d fee", i) || resp.Header.Get(standin.WorkHeader) != work) {
 		l.foreign = append(l.foreign, work)
 	}
@@ -129,6 +134,9 @@
 			l.t.Errorf("%s: outcome %s, ran %d times", work, o, n)
 		}
 	}
+	for work, err := range l.errs {
+		l.t.Logf("%s %s %v", work, l.outcomes[work], err)
+	}
 	for _, work := range l.foreign {
 		l.t.Errorf("%s got another request's answer", work)
 	}
