--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -137,7 +137,7 @@
 
 // Lookup tells what became of a key. A key that has not run is closed, so that
 // the result "not run" is final: for a key of the caller's own form until its
-// binding ends, 20 to 26 minutes after it was first seen.
+// binding ends, 21 to 26 minutes after it was first seen.
 func (l *Ledger) Lookup(ctx context.Context, key string) (*Result, error) {
 	_, res, err := l.resolve(ctx, key, 0, true)
 	return res, err
--- a/internal/ledger/loopback_test.go
+++ b/internal/ledger/loopback_test.go
@@ -137,8 +137,8 @@
 
 // Guards against a witness that does not help: it prints how many outcomes
 // are unknown after an owner was killed with requests in flight. A request is
-// queued for up to 20 ms and then at an endpoint for up to 20 ms, and the kill
-// comes after up to 50 ms.
+// queued for up to 20 ms and then at an endpoint for up to 18 ms, and the kill
+// comes after 15 ms.
 func TestKilledOwner(t *testing.T) {
 	const requests = 200
 	unknown := map[model.InstanceID]int{}
