membership: ping all neighbours before a suspicion, and keep news and records in one bound

Records and the largest news together exceeded the bound of a message (TestLargestNewsAndRecords). Transfers over 64 KB and comparisons of tables get 3 s more.

--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -94,6 +94,14 @@
 	return fixedRecordBytes + len(m.ID) + len(m.Region) + len(m.Domain) + len(m.Successor) + len(m.KeyPrefix)
 }
 
+func totalSize(records []Member) int {
+	size := 0
+	for i := range records {
+		size += records[i].size()
+	}
+	return size
+}
+
 // Since returns the records that changed after the given value of the change
 // counter, except those that the given neighbour is known to have, and the value up
 // to which they are complete.
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -126,7 +126,7 @@
 	reply.Buckets = n.table.Digest()
 	reply.Cursor = n.table.Seq()
 	n.mu.Unlock()
-	reply.News, _ = n.newsForCaller(args.From)
+	reply.News, _ = n.newsForCaller(args.From, reply.Members)
 }
 
 // answerPoll waits until there is something that the caller lacks.
@@ -138,7 +138,7 @@
 		changed := n.changed
 		reply.Members, reply.Cursor = n.table.Since(reply.Cursor, args.From)
 		n.mu.Unlock()
-		news, later := n.newsForCaller(args.From)
+		news, later := n.newsForCaller(args.From, reply.Members)
 		reply.News = news
 		if len(reply.Members) > 0 || len(news) > 0 || ctx.Err() != nil {
 			return
@@ -237,11 +237,12 @@
 }
 
 // newsFor returns what an instance with the given digests lacks, and whether
-// some of it was held back because it was sent a moment ago. Topics that the
-// instance does not have are left out.
-func (n *Node) newsFor(known digestSet, sent sentNews) (list []TopicNews, later bool) {
+// some of it was held back because it was sent a moment ago or does not fit
+// into a message with the given records. Topics that the instance does not
+// have are left out.
+func (n *Node) newsFor(known digestSet, sent sentNews, records []Member) (list []TopicNews, later bool) {
 	now := time.Now()
-	size := 0
+	room := MaxNewsBytes - totalSize(records)
 	for _, name := range n.names {
 		theirs, ok := known[name]
 		digest := n.topics[name].Digest()
@@ -249,7 +250,11 @@
 			continue
 		}
 		news := n.topics[name].News([]byte(theirs))
-		if news == nil || size+len(news) > MaxNewsBytes {
+		if news == nil {
+			continue
+		}
+		if len(news) > room {
+			later = true
 			continue
 		}
 		item := sentItem{now, xxhash.Sum64(news) ^ xxhash.Sum64String(theirs)}
@@ -258,13 +263,13 @@
 			continue
 		}
 		sent[name] = item
-		size += len(news)
+		room -= len(news)
 		list = append(list, TopicNews{name, digest, news})
 	}
 	return list, later
 }
 
-func (n *Node) newsForCaller(id model.InstanceID) ([]TopicNews, bool) {
+func (n *Node) newsForCaller(id model.InstanceID, records []Member) ([]TopicNews, bool) {
 	n.mu.Lock()
 	c := n.callers[id]
 	if c == nil {
@@ -273,7 +278,7 @@
 	}
 	known, sent := maps.Clone(c.digests), maps.Clone(c.sent)
 	n.mu.Unlock()
-	list, later := n.newsFor(known, sent)
+	list, later := n.newsFor(known, sent, records)
 	n.mu.Lock()
 	c.sent = sent
 	n.mu.Unlock()
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -12,8 +12,15 @@
 	// pollWait is how long a neighbour holds a poll without news. It must be
 	// below the idle timeout of connections.
 	pollWait = 5 * time.Second
-	// callTimeout bounds a call that is answered at once.
-	callTimeout = time.Second
+	// callTimeout bounds a call that is answered at once. transferTimeout is
+	// added if a message may be large: 1 MB takes up to ten round trips of
+	// 70 ms on a new connection between regions. It is not added to polls that
+	// wait, because they also detect silent neighbours; one that fails while
+	// large news is on its way is followed by one with all of pollWait for it.
+	callTimeout     = time.Second
+	transferTimeout = 3 * time.Second
+	// largeMessage is the size from which transferTimeout is added.
+	largeMessage = 64 << 10
 	// pollRetry is the pause after a failed poll, and pushRetry that after a
 	// failed push.
 	pollRetry = 200 * time.Millisecond
@@ -80,6 +87,9 @@
 func (l *link) poll(ctx context.Context) error {
 	args := l.pollArgs()
 	wait := time.Duration(args.WaitMS) * time.Millisecond
+	if args.Buckets != nil {
+		wait = transferTimeout
+	}
 	var reply ExchangeReply
 	if err := l.node.exchange(ctx, l.id, wait, args, &reply); err != nil {
 		l.forgetTold()
@@ -203,7 +213,7 @@
 	known, sent := maps.Clone(l.known), maps.Clone(l.sent)
 	n.mu.Unlock()
 
-	news, later := n.newsFor(known, sent)
+	news, later := n.newsFor(known, sent, members)
 	if len(members) > 0 || len(news) > 0 {
 		if err := l.send(ctx, members, news); err != nil {
 			return false, err
@@ -227,7 +237,7 @@
 	args.News = news
 	n.stats.pushes.Add(1)
 	var reply ExchangeReply
-	if err := n.exchange(ctx, l.id, 0, args, &reply); err != nil {
+	if err := n.exchange(ctx, l.id, transferTime(args), args, &reply); err != nil {
 		l.forgetTold()
 		return err
 	}
@@ -236,6 +246,18 @@
 	return nil
 }
 
+// transferTime returns how much longer than callTimeout a push may take.
+func transferTime(args *ExchangeArgs) time.Duration {
+	size := totalSize(args.Members)
+	for _, item := range args.News {
+		size += len(item.News)
+	}
+	if size < largeMessage {
+		return 0
+	}
+	return transferTimeout
+}
+
 // exchange calls a member and records whether it answered.
 func (n *Node) exchange(ctx context.Context, to model.InstanceID, wait time.Duration, args *ExchangeArgs, reply *ExchangeReply) error {
 	bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
@@ -268,7 +290,7 @@
 	var reply ExchangeReply
 	args := &ExchangeArgs{From: n.self().ID, Push: true, Members: records}
 	args.Topics = n.ownDigests().hash()
-	if err := n.exchange(ctx, to, 0, args, &reply); err != nil {
+	if err := n.exchange(ctx, to, transferTime(args), args, &reply); err != nil {
 		return err
 	}
 	n.mergeMembers(reply.Members, to)
--- a/internal/membership/notices_test.go
+++ b/internal/membership/notices_test.go
@@ -1,12 +1,15 @@
 package membership
 
 import (
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/peer"
 )
 
 // Guards against an endpoint that some instances still send work to 2 s after
@@ -40,6 +43,49 @@
 	})
 }
 
+// bigTopic has news of the largest size until it has been merged.
+type bigTopic struct{ has atomic.Bool }
+
+func (b *bigTopic) Name() string { return "big" }
+func (b *bigTopic) Digest() []byte {
+	if b.has.Load() {
+		return []byte{1}
+	}
+	return nil
+}
+func (b *bigTopic) News([]byte) []byte {
+	if b.has.Load() {
+		return make([]byte, MaxNewsBytes)
+	}
+	return nil
+}
+func (b *bigTopic) Merge(news []byte) (bool, error) { return !b.has.Swap(true), nil }
+
+// Guards against messages over the bound of package peer when news of the
+// largest size and many records are due at the same time. Fails if news does
+// not make room for records.
+func TestLargestNewsAndRecords(t *testing.T) {
+	topics := func() []Topic { return []Topic{&bigTopic{}} }
+	simulate(t, 6, topics, func(c *cluster) {
+		c.count.Store(true)
+		first := c.nodes["r0-0"]
+		var ghosts []Member
+		for i := range 3000 {
+			ghosts = append(ghosts, member(fmt.Sprint("ghost-", i), 1, 1, HealthAlive))
+		}
+		first.topics["big"].(*bigTopic).has.Store(true)
+		first.mergeMembers(ghosts, "")
+		c.until("news and records", 10*time.Second, func(n *Node) bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.topics["big"].(*bigTopic).has.Load() && len(n.table.rows) > 3000
+		})
+		if most := c.largest.Load(); most > peer.MaxMessageBytes {
+			t.Errorf("a message of %d bytes, want at most %d", most, peer.MaxMessageBytes)
+		}
+	})
+}
+
 // Guards against notices that end differently by the order of messages, and
 // against news that does not make two instances equal. Fails without the rule
 // for equal versions.
--- a/internal/membership/reach.go
+++ b/internal/membership/reach.go
@@ -114,7 +114,7 @@
 	}
 	n.mu.Unlock()
 	var reply ExchangeReply
-	if n.exchange(ctx, id, 0, args, &reply) != nil {
+	if n.exchange(ctx, id, transferTimeout, args, &reply) != nil {
 		return
 	}
 	n.mergeMembers(reply.Members, id)
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"jujubestile.example/jujubestile/internal/model"
@@ -12,12 +13,12 @@
 const (
 	// pingInterval is the time between two pings of members that answer. Each
 	// member is neighbour or caller of about ten others, so that it gets
-	// about one ping a second.
-	pingInterval = time.Second
+	// about one ping in this time.
+	pingInterval = 750 * time.Millisecond
 	// sampleEvery is the number of pings of watched members for each ping of
 	// another one. A member that nobody watches any more, for example because
 	// its region is out of reach, would otherwise stay alive in the table.
-	sampleEvery = 10
+	sampleEvery = 13
 	// probeInterval is the time between two pings of a member that fails.
 	probeInterval = 250 * time.Millisecond
 	pingTimeout   = 500 * time.Millisecond
@@ -311,9 +312,16 @@
 
 // confirm suspects a member unless another one reaches it. In that case the
 // path between the two is broken, and the member is asked for again after
-// SuspectAfter.
+// SuspectAfter. All neighbours are pinged at the same time: if the fault is at
+// this instance, one of them fails first, and the others must be known to fail
+// before that one is suspected.
 func (n *Node) confirm(ctx context.Context, id model.InstanceID) {
+	var probes sync.WaitGroup
+	for _, other := range n.answering(id) {
+		probes.Go(func() { n.probe(ctx, other) })
+	}
 	reached := n.reachedByOthers(ctx, id)
+	probes.Wait()
 	n.mu.Lock()
 	wait := n.table.UntilSuspect(time.Now(), id)
 	n.mu.Unlock()
@@ -351,8 +359,17 @@
 	return reached
 }
 
-// helpers returns neighbours that answer.
+// helpers returns some neighbours that answer.
 func (n *Node) helpers(except model.InstanceID) []model.InstanceID {
+	ids := n.answering(except)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.opts.Rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return first(ids, confirmers)
+}
+
+// answering returns the neighbours that are not known to fail.
+func (n *Node) answering(except model.InstanceID) []model.InstanceID {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var ids []model.InstanceID
@@ -362,6 +379,5 @@
 		}
 	}
 	slices.Sort(ids)
-	n.opts.Rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	return first(ids, confirmers)
+	return ids
 }
