Keep related events of the policy scenarios at different instants

Two instances that react to one event could reach an endpoint at the same nanosecond, and synctest then fires their timers in random order. Instances now use different remainders of a spacing of 32 ns. The figures are read under the locks: the race detector had found a slot that returned meanwhile.

Admission returns slots under the queue's mutex, so that no one sees a slot free that still counts as in flight.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -3,6 +3,9 @@
 // that cannot finish in time, newest first under overload, and preemption of
 // bulk work in flight.
 //
+// The Router and its slots are called with the queue's mutex held and must not
+// call back.
+//
 // There is no goroutine per queue. Whoever releases a slot, and any waiting
 // request that sees the Router's signal, hands out the free slots under the
 // queue's mutex.
--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -55,12 +55,12 @@
 // release returns the slot at the given time and hands out what is free.
 func (q *queue) release(now time.Time, t *ticket, at time.Time) {
 	later := at.After(now)
+	q.mu.Lock()
 	if later {
 		t.slot.ReleaseAt(at)
 	} else {
 		t.slot.Release()
 	}
-	q.mu.Lock()
 	q.advance(now)
 	q.end(t, at, later)
 	cancels := q.serveLocked(now)
--- a/internal/policytest/endpoint.go
+++ b/internal/policytest/endpoint.go
@@ -159,6 +159,12 @@
 	e.busy[p] += overlap(end.Add(-d), end, e.from, e.to)
 }
 
+func (e *endpoint) busyTime(p model.Priority) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.busy[p]
+}
+
 func (e *endpoint) isLost() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -171,6 +177,7 @@
 	id     model.InstanceID
 	region model.Region
 	domain model.Domain
+	spacer *spacer
 }
 
 func (t *transport) oneWay(e *endpoint) time.Duration {
@@ -184,9 +191,18 @@
 	}
 }
 
-// Send implements dispatch.Transport.
+// Send implements dispatch.Transport. Attempts that are cancelled at the same
+// instant return at different ones.
 func (t *transport) Send(ctx context.Context, to model.Endpoint, r *dispatch.Request) (*dispatch.Response, error) {
 	t.world.sends.Add(1)
+	response, err := t.exchange(ctx, to, r)
+	if err != nil {
+		time.Sleep(t.spacer.next())
+	}
+	return response, err
+}
+
+func (t *transport) exchange(ctx context.Context, to model.Endpoint, r *dispatch.Request) (*dispatch.Response, error) {
 	e := t.world.endpoints[to.ID]
 	oneWay := t.oneWay(e)
 	e.mu.Lock()
--- a/internal/policytest/naive.go
+++ b/internal/policytest/naive.go
@@ -20,7 +20,7 @@
 // naive is the baseline: a fixed limit of requests in flight, first come first
 // served, a random endpoint of the list, up to three attempts at once.
 type naive struct {
-	transport dispatch.Transport
+	transport *transport
 	rnd       *rand.Rand
 
 	mu      sync.Mutex
@@ -46,6 +46,7 @@
 		return dispatch.Result{Outcome: model.OutcomeNotRun, RetryAfter: time.Second}
 	}
 	defer n.exit()
+	time.Sleep(n.transport.spacer.next())
 	res := dispatch.Result{Outcome: model.OutcomeNotRun}
 	for res.Attempts < naiveAttempts && ctx.Err() == nil {
 		res.Attempts++
--- a/internal/policytest/report.go
+++ b/internal/policytest/report.go
@@ -30,6 +30,10 @@
 
 func (w *world) figures() figures {
 	f := figures{by: map[model.Priority]byPriority{}, share: map[model.Priority]float64{}, held: map[model.Priority]float64{}, avoid: -1}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slots.mu.Lock()
+	defer w.slots.mu.Unlock()
 	var work time.Duration
 	slots := 0
 	for _, e := range w.order {
@@ -41,7 +45,7 @@
 		f.held[p] = float64(w.slots.held[p]) / float64(capacity)
 		work += f.by[p].work
 		for _, e := range w.order {
-			f.share[p] += float64(e.busy[p]) / float64(capacity)
+			f.share[p] += float64(e.busyTime(p)) / float64(capacity)
 		}
 	}
 	f.goodput = float64(work) / float64(capacity)
--- a/internal/policytest/router.go
+++ b/internal/policytest/router.go
@@ -20,7 +20,7 @@
 	free    map[model.Region]int
 	routers []*router
 	first   int // whom signalWaiting signals first
-	later   int // nanoseconds added to the next ReleaseAt
+	later   int // number of the last ReleaseAt, modulo 1000
 	// held is the slot time by priority between from and to.
 	held     map[model.Priority]time.Duration
 	from, to time.Time
@@ -125,7 +125,7 @@
 	all.signalWaiting()
 }
 
-// signalWaiting signals the instances whose last Take failed, one nanosecond
+// signalWaiting signals the instances whose last Take failed, one shortly
 // after the other: at the same instant the order would be the scheduler's, and
 // figures would not repeat.
 func (s *slots) signalWaiting() {
@@ -135,7 +135,7 @@
 		r := s.routers[(s.first+i)%len(s.routers)]
 		if r.wants {
 			r.wants = false
-			delay++
+			delay += spacing
 			time.AfterFunc(delay, r.signal)
 		}
 	}
@@ -147,7 +147,7 @@
 	all := s.router.all
 	all.mu.Lock()
 	all.later = (all.later + 1) % 1000
-	delay := time.Until(t) + time.Duration(all.later)
+	delay := time.Until(t) + time.Duration(all.later)*spacing
 	all.mu.Unlock()
 	time.AfterFunc(delay, s.Release)
 }
--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -156,7 +156,7 @@
 		region := w.s.regions[i%len(w.s.regions)]
 		id := model.InstanceID(fmt.Sprintf("%s-%d", region, i))
 		domain := model.Domain(fmt.Sprintf("%s-%c", region, 'a'+rune(i/len(w.s.regions)%2)))
-		t := &transport{world: w, id: id, region: region, domain: domain}
+		t := &transport{world: w, id: id, region: region, domain: domain, spacer: &spacer{index: int64(i)}}
 		w.nodes = append(w.nodes, w.newNode(i, id, t, all.add(region)))
 	}
 }
@@ -172,23 +172,38 @@
 	a := admission.New(r)
 	a.SetMinimum(w.s.minimum)
 	d := dispatch.New(dispatch.Config{
-		Region: t.region, Admission: &spacedAdmission{Admission: a}, Balancer: b, Transport: t, Retry: retry.NewPolicy(rnd(2)),
+		Region: t.region, Admission: &spacedAdmission{a, t.spacer}, Balancer: b, Transport: t, Retry: retry.NewPolicy(rnd(2)),
 	})
 	return &node{id: id, do: d, balancer: b, product: d, prober: t}
 }
 
-// spacedAdmission lets the requests that got slots at the same instant go on at
+// spacer gives the events of an instance that would fall on the same instant
 // different ones: synctest fires timers of one instant in random order, and the
-// figures are to repeat.
+// figures are to repeat. Instances get different remainders of spacing, as one
+// instance's event often causes another's.
+type spacer struct {
+	index int64
+	n     atomic.Int64
+}
+
+// spacing is larger than the number of instances.
+const spacing = 32
+
+func (s *spacer) next() time.Duration {
+	return time.Duration(s.n.Add(1)%1000*spacing + s.index)
+}
+
+// spacedAdmission lets requests that got slots at the same instant go on at
+// different ones.
 type spacedAdmission struct {
 	dispatch.Admission
-	granted atomic.Int64
+	spacer *spacer
 }
 
 func (a *spacedAdmission) Admit(ctx context.Context, n dispatch.Need) (dispatch.Permit, error) {
 	p, err := a.Admission.Admit(ctx, n)
 	if err == nil {
-		time.Sleep(time.Duration(a.granted.Add(1) % 1000))
+		time.Sleep(a.spacer.next())
 	}
 	return p, err
 }
