Take news of ejected endpoints from other instances

Cause: each of 20 instances lost at least one request to each lost endpoint before it ejected it. An endpoint that another instance has ejected is now set aside and probed, unless it has just answered here.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -34,6 +34,9 @@
 	// maxRefusalPause bounds how long a Retry-After of an endpoint is obeyed,
 	// so that a misleading value does not remove the endpoint.
 	maxRefusalPause = 5 * time.Second
+	// trustAnswer is how long an own answer counts more than the news of another
+	// instance.
+	trustAnswer = 500 * time.Millisecond
 	// drawLimit is how many random draws one of the two candidates takes
 	// before all endpoints are scanned.
 	drawLimit = 4
@@ -187,6 +190,37 @@
 	e.probed(now, ok)
 }
 
+// Suspect takes the news that another instance has ejected the endpoint. It is
+// set aside and probed before it gets more work, unless it has just answered
+// here. It needs active probes; without them it does nothing, because a rumour
+// must not keep work away longer than a probe takes.
+func (b *Balancer) Suspect(now time.Time, id model.EndpointID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.endpoints[id]
+	if e == nil || e.gone || e.ejected || e.suspect || !b.cfg.ActiveProbes {
+		return
+	}
+	if !e.answeredAt.IsZero() && now.Sub(e.answeredAt) < trustAnswer {
+		return
+	}
+	e.suspect = true
+	e.pausedUntil = now.Add(silencePause)
+}
+
+// Ejected returns the endpoints that this instance has ejected, to tell others.
+func (b *Balancer) Ejected() []model.EndpointID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []model.EndpointID
+	for _, l := range b.listed {
+		if e := b.endpoints[l.ID]; e != nil && !e.gone && e.ejected {
+			ids = append(ids, l.ID)
+		}
+	}
+	return ids
+}
+
 // Usable returns the fraction of the service's endpoint slots, from 0 to 1, that
 // are not on ejected endpoints. It is 1 when ejections are distrusted.
 func (b *Balancer) Usable(s model.Service) float64 {
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -173,6 +173,22 @@
 			So(b.endpoints["e0"].aside(start), ShouldBeFalse)
 			So(b.DueProbes(start), ShouldHaveLength, 0)
 		})
+		Convey("is reported to others once ejected, and probed by them", func() {
+			b.Probed(start, "e0", false)
+			So(b.Ejected(), ShouldBeEmpty)
+			b.DueProbes(start)
+			b.Probed(start, "e0", false)
+			So(b.Ejected(), ShouldResemble, []model.EndpointID{"e0"})
+
+			other := newBalancer(4)
+			other.cfg.ActiveProbes = true
+			other.Observe(start, dispatch.Observation{Endpoint: listOf(4)[1], Status: 200, Utilization: -1})
+			for _, id := range []model.EndpointID{"e0", "e1", "unknown"} {
+				other.Suspect(start, id)
+			}
+			So(play(other, start, 100, answer)["e0"], ShouldEqual, 0)
+			So(other.DueProbes(start), ShouldHaveLength, 1) // e1 has just answered
+		})
 		Convey("is not affected by a probe that nobody started", func() {
 			b.Probed(start, "e1", false)
 			So(b.endpoints["e1"].inARow, ShouldEqual, 0)
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -52,6 +52,7 @@
 	utilization float64
 	reportedAt  time.Time
 	pausedUntil time.Time
+	answeredAt  time.Time
 	suspect     bool // did not answer the last request
 
 	inARow     int
@@ -144,6 +145,7 @@
 }
 
 func (e *endpoint) observeAnswer(now time.Time, o dispatch.Observation) {
+	e.answeredAt = now
 	e.suspect = false
 	e.inARow = 0
 	e.failures -= failureWeight * e.failures
--- a/internal/policytest/router.go
+++ b/internal/policytest/router.go
@@ -35,6 +35,9 @@
 	borrowed int
 	wants    bool // the last Take found no slot
 	freed    chan struct{}
+	// usable reports whether a region has endpoints left; nil means yes. Region
+	// selection leaves out a region without any.
+	usable func(model.Region) bool
 }
 
 func (s *slots) add(region model.Region) *router {
@@ -52,7 +55,7 @@
 func (r *router) Take(now time.Time, n dispatch.Need) (dispatch.Slot, error) {
 	r.all.mu.Lock()
 	defer r.all.mu.Unlock()
-	if r.ownFree > 0 && !contains(n.Exclude, r.region) {
+	if r.ownFree > 0 && r.open(r.region) && !contains(n.Exclude, r.region) {
 		r.ownFree--
 		return &slot{router: r, region: r.region, own: true, priority: n.Priority, taken: now}, nil
 	}
@@ -69,7 +72,7 @@
 }
 
 func (r *router) borrow(now time.Time, n dispatch.Need, g model.Region) dispatch.Slot {
-	if contains(n.Exclude, g) || r.all.free[g] == 0 {
+	if contains(n.Exclude, g) || r.all.free[g] == 0 || !r.open(g) {
 		return nil
 	}
 	r.all.free[g]--
@@ -81,13 +84,20 @@
 func (r *router) Slots(time.Time, model.Service) int {
 	r.all.mu.Lock()
 	defer r.all.mu.Unlock()
-	n := r.own + r.borrowed
+	n := r.borrowed
+	if r.open(r.region) {
+		n += r.own
+	}
 	for _, g := range r.all.order {
-		n += r.all.free[g]
+		if r.open(g) {
+			n += r.all.free[g]
+		}
 	}
 	return n
 }
 
+func (r *router) open(g model.Region) bool { return r.usable == nil || r.usable(g) }
+
 // Freed implements dispatch.Router.
 func (r *router) Freed(model.Service) <-chan struct{} { return r.freed }
 
--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -169,6 +169,7 @@
 	}
 	b := balance.New(balance.Config{Instance: id, Rand: rnd(1), ActiveProbes: true})
 	b.SetInstances(w.start, instances)
+	r.usable = func(g model.Region) bool { return b.UsableIn(service, g) > 0 }
 	a := admission.New(r)
 	a.SetMinimum(w.s.minimum)
 	d := dispatch.New(dispatch.Config{
@@ -258,6 +259,7 @@
 		time.AfterFunc(e.at, func() { e.do(w) })
 	}
 	go w.sampleLoads(ctx)
+	go w.gossip(ctx)
 	for _, n := range w.nodes {
 		if n.product != nil {
 			go dispatch.RunProbes(ctx, n.balancer, n.prober)
@@ -277,6 +279,28 @@
 	time.Sleep(headerTimeout + 5*time.Second) // slots that return later
 }
 
+// gossipTime is how long news of an ejected endpoint takes to the others.
+const gossipTime = 300 * time.Millisecond
+
+// gossip stands for the news of ejected endpoints that instances exchange.
+func (w *world) gossip(ctx context.Context) {
+	for !w.naive && sleep(ctx, gossipTime) {
+		ejected := map[model.EndpointID]bool{}
+		for _, n := range w.nodes {
+			for _, id := range n.balancer.Ejected() {
+				ejected[id] = true
+			}
+		}
+		for _, n := range w.nodes {
+			for _, e := range w.order {
+				if ejected[e.ID] {
+					n.balancer.Suspect(time.Now(), e.ID)
+				}
+			}
+		}
+	}
+}
+
 func (w *world) sampleLoads(ctx context.Context) {
 	for sleep(ctx, reportLag) {
 		for _, e := range w.order {
