--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -156,7 +156,7 @@
 		region := w.s.regions[i%len(w.s.regions)]
 		id := model.InstanceID(fmt.Sprintf("%s-%d", region, i))
 		domain := model.Domain(fmt.Sprintf("%s-%c", region, 'a'+rune(i/len(w.s.regions)%2)))
-		t := &transport{world: w, id: id, region: region, domain: domain}
+		t := &transport{world: w, id: id, region: region, domain: domain, spacer: &spacer{index: int64(i)}}
 		w.nodes = append(w.nodes, w.newNode(i, id, t, all.add(region)))
 	}
 }
@@ -169,26 +169,42 @@
 	}
 	b := balance.New(balance.Config{Instance: id, Rand: rnd(1), ActiveProbes: true})
 	b.SetInstances(w.start, instances)
+	r.usable = func(g model.Region) bool { return b.UsableIn(service, g) > 0 }
 	a := admission.New(r)
 	a.SetMinimum(w.s.minimum)
 	d := dispatch.New(dispatch.Config{
-		Region: t.region, Admission: &spacedAdmission{Admission: a}, Balancer: b, Transport: t, Retry: retry.NewPolicy(rnd(2)),
+		Region: t.region, Admission: &spacedAdmission{a, t.spacer}, Balancer: b, Transport: t, Retry: retry.NewPolicy(rnd(2)),
 	})
 	return &node{id: id, do: d, balancer: b, product: d, prober: t}
 }
 
-// spacedAdmission lets the requests that got slots at the same instant go on at
+// spacer gives the events of an instance that would fall on the same instant
 // different ones: synctest fires timers of one instant in random order, and the
-// figures are to repeat.
+// figures are to repeat. Instances get different remainders of spacing, as one
+// instance's event often causes another's.
+type spacer struct {
+	index int64
+	n     atomic.Int64
+}
+
+// spacing is larger than the number of instances.
+const spacing = 32
+
+func (s *spacer) next() time.Duration {
+	return time.Duration(s.n.Add(1)%1000*spacing + s.index)
+}
+
+// spacedAdmission lets requests that got slots at the same instant go on at
+// different ones.
 type spacedAdmission struct {
 	dispatch.Admission
-	granted atomic.Int64
+	spacer *spacer
 }
 
 func (a *spacedAdmission) Admit(ctx context.Context, n dispatch.Need) (dispatch.Permit, error) {
 	p, err := a.Admission.Admit(ctx, n)
 	if err == nil {
-		time.Sleep(time.Duration(a.granted.Add(1) % 1000))
+		time.Sleep(a.spacer.next())
 	}
 	return p, err
 }
@@ -243,6 +259,7 @@
 		time.AfterFunc(e.at, func() { e.do(w) })
 	}
 	go w.sampleLoads(ctx)
+	go w.gossip(ctx)
 	for _, n := range w.nodes {
 		if n.product != nil {
 			go dispatch.RunProbes(ctx, n.balancer, n.prober)
@@ -262,6 +279,28 @@
 	time.Sleep(headerTimeout + 5*time.Second) // slots that return later
 }
 
+// gossipTime is how long news of an ejected endpoint takes to the others.
+const gossipTime = 300 * time.Millisecond
+
+// gossip stands for the news of ejected endpoints that instances exchange.
+func (w *world) gossip(ctx context.Context) {
+	for !w.naive && sleep(ctx, gossipTime) {
+		ejected := map[model.EndpointID]bool{}
+		for _, n := range w.nodes {
+			for _, id := range n.balancer.Ejected() {
+				ejected[id] = true
+			}
+		}
+		for _, n := range w.nodes {
+			for _, e := range w.order {
+				if ejected[e.ID] {
+					n.balancer.Suspect(time.Now(), e.ID)
+				}
+			}
+		}
+	}
+}
+
 func (w *world) sampleLoads(ctx context.Context) {
 	for sleep(ctx, reportLag) {
 		for _, e := range w.order {
