shift: do not refuse steady traffic; status of the accounts for operators

Shares bounded by the cap no longer summed to 1 after noise, which refused one of 641 requests of a steady service with two regions. The bound in a step now counts only where another region keeps to both, and the shares as measured are used where few requests are sampled. Counted without any bound in the step, a share rose by 0.0505 with a cap of 0.05, so it is kept, rounded up.

capacity.Status shows the accounts. Replies to borrowers of other regions name owners, because only instances of the region read its record.

--- a/internal/capacity/driver.go
+++ b/internal/capacity/driver.go
@@ -50,7 +50,8 @@
 	Peers() []Peer
 	// Listing returns the entry instances in the latest reading of the
 	// platform's list and when that reading began. It reports false before
-	// the first reading.
+	// the first reading. The list has to be read every 10 s: an instance
+	// counts as missing only while readings are at most 15 s apart.
 	Listing() (ids []model.InstanceID, began time.Time, ok bool)
 }
 
@@ -74,7 +75,8 @@
 	storeDown atomic.Bool
 	// recordSize is the size in bytes of the root record last read.
 	recordSize atomic.Int64
-	admitting  bool
+	// last is what was last logged.
+	last Status
 }
 
 // DriverConfig holds what a Driver connects.
@@ -106,7 +108,7 @@
 
 // Start runs the driver until ctx ends. Done is closed after that.
 func (d *Driver) Start(ctx context.Context) {
-	go d.runStore(ctx)
+	d.calls.Go(func() { d.runStore(ctx) })
 	go d.runPeers(ctx)
 }
 
@@ -150,10 +152,21 @@
 	d.state.Tick(time.Now())
 	d.state.SetPeers(d.members.Peers())
 	d.takeListing()
-	if now := d.state.Admitting(time.Now()); now != d.admitting {
-		d.admitting = now
-		d.log.Info().Str("event", "capacity-admitting").Bool("admitting", now).Msg("admission by own slots changed")
+	d.logChanges()
+}
+
+func (d *Driver) logChanges() {
+	st := d.state.brief(time.Now())
+	if st.Admitting != d.last.Admitting {
+		d.log.Info().Str("event", "capacity-admitting").Bool("admitting", st.Admitting).Msg("admission by slots changed")
+	}
+	if st.Pauses != d.last.Pauses {
+		d.log.Warn().Str("event", "capacity-paused").Int("pauses", st.Pauses).Msg("the process was paused; slots are not used until confirmed")
+	}
+	if st.Fenced != d.last.Fenced {
+		d.log.Error().Str("event", "capacity-fenced").Msg("a later process of this instance owns its slots")
 	}
+	d.last = st
 }
 
 func (d *Driver) takeListing() {
--- a/internal/capacity/lend.go
+++ b/internal/capacity/lend.go
@@ -128,9 +128,11 @@
 	return Loan{ID: id, Key: p.key, Count: n}
 }
 
+// hint adds others that may lend: those that lately had idle slots, and for a
+// borrower of another region, which does not read the record, some owners.
 func (s *State) hint(t time.Time, to model.InstanceID, k Key, r *BorrowReply) {
-	n := 0
 	idle := s.dem.idle[k]
+	n := 0
 	for _, id := range slices.Sorted(maps.Keys(idle)) {
 		count := idle[id]
 		if id == to || t.Sub(count.seen) > idleFresh || n == maxIdleHints {
@@ -139,6 +141,37 @@
 		r.Idle = append(r.Idle, Idle{Instance: id, Key: k, Count: count.count})
 		n++
 	}
+	if n == 0 && len(r.Loans) == 0 && !s.inRegion(to) {
+		s.hintOwners(to, k, r)
+	}
+}
+
+func (s *State) inRegion(id model.InstanceID) bool {
+	_, ok := slices.BinarySearch(s.own.members, id)
+	return ok
+}
+
+// hintOwners adds owners from a random place in the order of their names.
+func (s *State) hintOwners(to model.InstanceID, k Key, r *BorrowReply) {
+	rec := s.own.record
+	if rec == nil || k.Region != s.cfg.Region {
+		return
+	}
+	i := rec.index(k.Service)
+	var owners []model.InstanceID
+	for id, h := range rec.Holders {
+		if h.at(i) > 0 && id != to && id != s.cfg.Self {
+			owners = append(owners, id)
+		}
+	}
+	slices.Sort(owners)
+	if len(owners) == 0 {
+		return
+	}
+	from := s.cfg.Rand.IntN(len(owners))
+	for n := range min(maxIdleHints, len(owners)) {
+		r.Idle = append(r.Idle, Idle{Instance: owners[(from+n)%len(owners)], Key: k, Count: 1})
+	}
 }
 
 // TakeBack ends parts of loans that a borrower returns early.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -292,3 +292,34 @@
 		t.Errorf("held service moved from %.3f to %.3f", before, share)
 	}
 }
+
+// Guards against a cap that refuses requests, or moves counts away from the
+// weights, though nothing shifts. The bounds of the window and of a step
+// together once refused one of 112 requests with ten equal weights.
+func TestSteadyWeightsAreNotCapped(t *testing.T) {
+	for _, k := range []int{2, 3, 10} {
+		for _, fraction := range []float64{0.02, 0.1, 0.3} {
+			for _, every := range []time.Duration{0, time.Millisecond, 100 * time.Millisecond, 700 * time.Millisecond, 7 * time.Second} {
+				set := testRules(1, []model.Region{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}[:k]...)
+				set.Shifts[svc] = rules.ShiftCap{Fraction: fraction, Period: 10 * time.Second}
+				weights := map[model.Region]float64{}
+				for i := range k {
+					weights[model.Region(rune('a'+i))] = 2 * float64(i+1) / float64(k*(k+1))
+				}
+				l := shift.New(rand.New(rand.NewPCG(uint64(k), 1)))
+				l.SetRules(epoch, set, func(model.Service) shift.Shares { return weights })
+				w := newWeighted(weights)
+				now := epoch
+				for id := range uint64(3000) {
+					now = now.Add(every)
+					order := w.order(nil, func(r model.Region) bool { return l.Allow(now, svc, r, id) })
+					if len(order) == 0 {
+						t.Fatalf("%d regions, cap %v, a request every %v: request %d refused", k, fraction, every, id)
+					}
+					w.chosen(order[0])
+					l.Sent(now, svc, order[0], id)
+				}
+			}
+		}
+	}
+}
--- a/internal/shift/series.go
+++ b/internal/shift/series.go
@@ -74,6 +74,9 @@
 // snapshot is the state at the opening of a step.
 type snapshot struct {
 	shares [2][]float64
+	// seen are the shares as measured. They sum to 1 unless requests were
+	// refused or a region was lost.
+	seen []float64
 	// level is decided(W) of the window before the step, or unknownLevel.
 	level int
 }
@@ -102,7 +105,7 @@
 	}
 	for i := range s.buckets {
 		b, sn := &s.buckets[i], &s.snaps[i]
-		b.refused, sn.level = 0, unknownLevel
+		b.refused, sn.level, sn.seen = 0, unknownLevel, slices.Clone(shares)
 		for k := range s.tracks {
 			b.sent[k] = make([]int32, len(shares))
 			sn.shares[k] = slices.Clone(shares)
@@ -121,6 +124,9 @@
 
 // widen adds regions, to which nothing was sent.
 func (s *series) widen(n int) {
+	for i := range s.snaps {
+		s.snaps[i].seen = append(s.snaps[i].seen, make([]float64, n-len(s.snaps[i].seen))...)
+	}
 	for k := range s.tracks {
 		tr := &s.tracks[k]
 		grow := n - len(tr.sent)
@@ -167,6 +173,7 @@
 	last := *s.snap(s.seq)
 	s.seq = target
 	for i := range s.snaps {
+		copy(s.snaps[i].seen, last.seen)
 		for k := range s.tracks {
 			copy(s.snaps[i].shares[k], last.shares[k])
 		}
@@ -184,6 +191,10 @@
 	for k := range s.tracks {
 		shares[k] = s.measure(k, n)
 	}
+	copy(sn.seen, s.snap(s.seq).seen)
+	if n > 0 {
+		s.parts(sn.seen, sinceLoss, n)
+	}
 	for k := range s.tracks {
 		copy(sn.shares[k], shares[k])
 		for i, c := range old.sent[k] {
@@ -246,10 +257,9 @@
 		return s.snap(s.seq).shares[k]
 	}
 	base := s.snap(max(s.seq-Steps+1, 0)).shares[k]
-	old := s.bucket(s.seq + 1)
 	shares := make([]float64, len(base))
-	for i, c := range s.tracks[k].sent {
-		shares[i] = min(float64(c-int(old.sent[k][i]))/float64(n), 1)
+	s.parts(shares, k, n)
+	for i := range shares {
 		if s.limit.capped {
 			shares[i] = min(shares[i], base[i]+s.limit.fraction)
 		}
@@ -257,6 +267,14 @@
 	return shares
 }
 
+// parts sets to to the parts of n requests in the last Steps steps.
+func (s *series) parts(to []float64, k, n int) {
+	old := s.bucket(s.seq + 1).sent[k]
+	for i, c := range s.tracks[k].sent {
+		to[i] = min(float64(c-int(old[i]))/float64(n), 1)
+	}
+}
+
 // oldest returns what the oldest step of the window adds to decided(W).
 func (s *series) oldest() int {
 	b := s.bucket(s.seq + 1)
@@ -265,14 +283,24 @@
 }
 
 // allow reports whether region i may get the request. Within a step it keeps
-// to the bound as well, so that a shift does not send all requests
-// of a few seconds to the region; that yields where no other region is allowed.
+// to the bound as well, so that a shift does not send all requests of a few
+// seconds to the region: rounded with an offset that differs by step, or, where
+// no region keeps to both bounds, rounded up or not at all with few requests.
 func (s *series) allow(i int, id uint64) bool {
 	n := s.decidedWith(id)
 	if !s.within(i, n) {
 		return false
 	}
-	return s.evenly(i, id) || !s.othersWithin(i, n)
+	offset := s.stepPhase(s.seq)
+	if s.evenly(i, id, offset) {
+		return true
+	}
+	return (s.few(float64(n)) || s.evenly(i, id, 1-epsilon)) && !s.othersAllowed(i, n, id, offset)
+}
+
+// few reports whether rounding down by region could forbid all regions.
+func (s *series) few(n float64) bool {
+	return n*s.fraction() < float64(len(s.tracks[everything].sent))
 }
 
 // within reports whether region i keeps to the bound of the window. With so
@@ -290,8 +318,8 @@
 	sent := tr.sent[i]
 	bound := tr.low[i] + s.fraction()
 	most := math.Floor(bound*n + epsilon)
-	if n*s.fraction() < float64(len(tr.sent)) {
-		most = max(most, s.sampled(k, i, n))
+	if s.few(n) {
+		most = max(most, s.sampled(i, n))
 		return float64(sent+1) <= most
 	}
 	shorter := sent - int(s.bucket(s.seq + 1).sent[k][i])
@@ -322,15 +350,16 @@
 	return s.limit.fraction
 }
 
-// evenly reports whether region i keeps to the bound in the current step.
-func (s *series) evenly(i int, id uint64) bool {
+// evenly reports whether region i keeps to the bound in the current step, with
+// an offset from 0 to 1 before rounding down.
+func (s *series) evenly(i int, id uint64, offset float64) bool {
 	b := s.bucket(s.seq)
 	n := b.all() + 1
 	if e := s.entry(id); e != nil && s.counts(e, id) && e.seq == s.seq {
 		n--
 	}
 	low := min(s.tracks[sinceLoss].low[i], s.tracks[everything].low[i])
-	most := math.Floor((low+s.fraction())*float64(n) + s.stepPhase(s.seq) + epsilon)
+	most := math.Floor((low+s.fraction())*float64(n) + offset)
 	return float64(b.sent[everything][i]+1) <= most
 }
 
@@ -342,9 +371,11 @@
 	return f
 }
 
-func (s *series) othersWithin(i, decided int) bool {
+// othersAllowed reports whether the request may go to another region within
+// both bounds.
+func (s *series) othersAllowed(i, decided int, id uint64, offset float64) bool {
 	for other := range s.tracks[everything].sent {
-		if other != i && s.within(other, decided) {
+		if other != i && s.within(other, decided) && s.evenly(other, id, offset) {
 			return true
 		}
 	}
@@ -353,8 +384,8 @@
 
 // sampled returns the region's part of n requests by systematic sampling: the
 // parts of all regions sum to n if the shares sum to 1.
-func (s *series) sampled(k, i int, n float64) float64 {
-	shares := s.start().shares[k]
+func (s *series) sampled(i int, n float64) float64 {
+	shares := s.start().seen
 	below := 0.0
 	for _, sh := range shares[:i] {
 		below += sh
@@ -416,6 +447,7 @@
 	for b := range s.buckets {
 		s.buckets[b].sent[sinceLoss][i] = 0
 		s.snaps[b].shares[sinceLoss][i] = 0
+		s.snaps[b].seen[i] = 0
 	}
 	s.tracks[sinceLoss].sent[i] = 0
 	s.tracks[sinceLoss].low[i] = 0
