--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -97,6 +97,12 @@
 	SlotsNotReturned = Event{505, "slots not given up", zerolog.WarnLevel,
 		"The instance stops and could not give up its slots. Others take them 60 s after it has left the platform's list.",
 		"None, unless it happens while the store is available."}
+	SlotsAfterPause = Event{507, "slots not used after a pause", zerolog.WarnLevel,
+		"The process did not run for over 5 s. It uses its slots again once it is confirmed.",
+		"If it repeats: look for processor contention or a host that suspends its guests."}
+	SlotsFenced = Event{508, "slots owned by a later process", zerolog.ErrorLevel,
+		"Another process of this instance started later and owns its slots. This one admits nothing any more.",
+		"Stop this process."}
 	NotHandedOver = Event{506, "key records not handed over", zerolog.WarnLevel,
 		"The instance stops and its successor did not take its key records. Their witnesses answer for them.",
 		"None for a single instance."}
