Let callers replace a key without a witness at no cost to their budget

Cause: a key whose witness had just been stopped was refused as not run, and the callers' retry budget (10 %) did not cover all callers that had the key's prefix cached. The refusal names the new prefix and involved no endpoint, so it costs no budget any more. The problem type now says why a request has not run. Ruled out: endpoint refusals (none were logged).

--- a/client/work.go
+++ b/client/work.go
@@ -23,6 +23,7 @@
 
 const (
 	problemContent    = "application/problem+json"
+	noIntent          = "urn:jujubestile:problem:no-intent"
 	responseGone      = "urn:jujubestile:problem:response-gone"
 	unboundKey        = "urn:jujubestile:problem:unbound"
 	maxQuestions      = 6
@@ -51,8 +52,8 @@
 	err  error
 	// again means that another attempt is safe.
 	again bool
-	// free means that the attempt could not connect, or met an instance that is
-	// about to stop, and costs no budget.
+	// free means that the attempt could not connect, met an instance that is
+	// about to stop, or needs another key, and costs no budget.
 	free  bool
 	after time.Duration
 }
@@ -197,6 +198,11 @@
 		// system no more than a refused connection.
 		s.free, s.after = true, 0
 	}
+	if p != nil && p.Type == noIntent {
+		// The witness of the key has gone. The response has a prefix with
+		// another one, and no endpoint was involved.
+		s.free, s.after = true, 0
+	}
 	return s
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -179,6 +179,9 @@
 	if res.Status != 0 {
 		p.Status = res.Status
 	}
+	if res.Detail != "" {
+		p.Type = problemPrefix + res.Detail
+	}
 	p.Event = res.Event
 	h.writeProblem(w, p.detail(res.Detail).after(res.RetryAfter))
 }
