--- /dev/null
+++ b/internal/proctest/capacity_test.go
@@ -0,0 +1,96 @@
+package proctest
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// idleTime is how long an idle fleet is measured.
+const idleTime = 15 * time.Second
+
+// clockTicks is the unit of processor time in /proc/PID/stat, per second.
+const clockTicks = 100
+
+// usage is what a process has used so far.
+type usage struct {
+	cpu time.Duration
+	// rss is in bytes, sent and received in bytes of calls between instances.
+	rss, sent, received float64
+}
+
+// BenchmarkCapacityDaemon measures what an idle daemon spends on control in
+// fleets of several sizes: processor time, memory, and bytes between instances.
+func BenchmarkCapacityDaemon(b *testing.B) {
+	for _, n := range []int{5, 10, 20} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			for b.Loop() {
+				measureIdle(b, n)
+			}
+		})
+	}
+}
+
+func measureIdle(b *testing.B, n int) {
+	f := newFleet(b, fleetConfig{entries: n, endpoints: 48, serviceTime: time.Millisecond})
+	f.awaitReady(f.entries...)
+	time.Sleep(5 * time.Second)
+	before := make([]usage, n)
+	for i, p := range f.entries {
+		before[i] = usageOf(b, p)
+	}
+	stats := f.kv.Stats()
+	reads, _ := f.platform.Readings()
+	time.Sleep(idleTime)
+	var sum usage
+	for i, p := range f.entries {
+		u := usageOf(b, p)
+		sum.cpu += u.cpu - before[i].cpu
+		sum.rss += u.rss
+		sum.sent += u.sent - before[i].sent
+		sum.received += u.received - before[i].received
+	}
+	after := f.kv.Stats()
+	readsAfter, _ := f.platform.Readings()
+	per := float64(n) * idleTime.Seconds()
+	b.ReportMetric(100*sum.cpu.Seconds()/per, "%core/daemon")
+	b.ReportMetric(sum.rss/float64(n)/(1<<20), "MB/daemon")
+	b.ReportMetric(sum.sent/per, "sentB/s")
+	b.ReportMetric(sum.received/per, "recvB/s")
+	b.ReportMetric(float64(after.Reads-stats.Reads)/per, "storereads/s")
+	b.ReportMetric(float64(after.Writes-stats.Writes)/per, "storewrites/s")
+	b.ReportMetric(float64(after.WaitingWatches), "watches")
+	b.ReportMetric(float64(readsAfter-reads)/per, "listreads/s")
+}
+
+func usageOf(b *testing.B, p *process) usage {
+	b.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	// Fields after the command name, which is in parentheses (proc_pid_stat(5)).
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	number := func(i int) float64 {
+		v, _ := strconv.ParseFloat(fields[i], 64)
+		return v
+	}
+	u := usage{
+		cpu: time.Duration((number(11) + number(12)) / clockTicks * float64(time.Second)),
+		rss: number(21) * float64(os.Getpagesize()),
+	}
+	var vars struct {
+		Calls  map[string]float64 `json:"peer_calls"`
+		Server map[string]float64 `json:"peer_server"`
+	}
+	if err := json.Unmarshal([]byte(get(b, "http://"+p.controlAddr+"/debug/vars")), &vars); err != nil {
+		b.Fatal(err)
+	}
+	u.sent = vars.Calls["bytes_out"] + vars.Server["bytes_out"]
+	u.received = vars.Calls["bytes_in"] + vars.Server["bytes_in"]
+	return u
+}
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -48,7 +48,7 @@
 
 // fleet is the stand-ins of the platform and the daemon processes.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	kv        *standin.KV
 	platform  *standin.Platform
 	storeURL  string
@@ -82,7 +82,7 @@
 	return model.Domain(fmt.Sprintf("%s-%c", r, 'a'+i/len(fleetRegions)%2))
 }
 
-func newFleet(t *testing.T, cfg fleetConfig) *fleet {
+func newFleet(t testing.TB, cfg fleetConfig) *fleet {
 	t.Helper()
 	f := &fleet{t: t, kv: standin.NewKV(), platform: standin.NewPlatform()}
 	storeSrv := httptest.NewServer(f.kv.Handler())
@@ -179,7 +179,7 @@
 var nextPort = 20000 + rand.IntN(8000)
 
 // freeAddr returns a loopback address with a free port.
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	for range 1000 {
 		nextPort++
--- a/internal/proctest/path_test.go
+++ b/internal/proctest/path_test.go
@@ -25,7 +25,7 @@
 }
 
 // get returns the body, or an empty string on any failure.
-func get(t *testing.T, url string) string {
+func get(t testing.TB, url string) string {
 	t.Helper()
 	c := http.Client{Timeout: 5 * time.Second}
 	resp, err := c.Get(url)
@@ -50,7 +50,7 @@
 }
 
 // eventually polls until ok or fails the test.
-func eventually(t *testing.T, within time.Duration, what string, ok func() bool) {
+func eventually(t testing.TB, within time.Duration, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(within)
 	for !ok() {
