--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -319,6 +319,23 @@
 	})
 }
 
+// Guards against a waiting request that queues at a busy endpoint while the slot
+// that an answer has just freed stays empty.
+func TestJustFreed(t *testing.T) {
+	b, other := newBalancer(8), 0
+	for i := range 200 {
+		e, _ := b.Pick(start, "s", "r", nil)
+		if i > 0 && e.ID != "e3" {
+			other++
+		}
+		b.Cancel(e.ID)
+		b.Observe(start, dispatch.Observation{Endpoint: listOf(8)[3], Latency: 20 * time.Millisecond, Status: 200, Utilization: 0.5})
+	}
+	if other > 0 {
+		t.Errorf("%d of 199 requests did not go to the endpoint that had just answered", other)
+	}
+}
+
 // Guards against old measurements that keep steering work after measurements
 // stopped.
 func TestDecayToEqualWeights(t *testing.T) {
