membership: spread soft updates in time

Members that started together sent them together: the random phase was drawn within 2 s, before the size of the fleet was known (TestSoftUpdates: all 20 in half of the interval). The interval is now 1 s for each member, so that soft updates take at most 2 KB/s by the measured 1 KB sent and received a change.

--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -17,9 +17,9 @@
 	// members. It is sent when two instances become neighbours and when their
 	// sums differ; otherwise only the sum is sent.
 	DigestBytes = 4 * BucketCount
-	// maxRecordBytes bounds the records in one message. The table at 4,900
-	// members has about 0.6 MB, and the rest of MaxMessageBytes of package peer
-	// is for news.
+	// maxRecordBytes bounds the records in one message. A record has about
+	// 150 bytes, the table at 4,900 members takes two messages. The rest of
+	// MaxMessageBytes of package peer is for news.
 	maxRecordBytes = 768 << 10
 	// fixedRecordBytes is an upper bound of a record without its text fields.
 	fixedRecordBytes = 112
--- a/internal/membership/gossip_test.go
+++ b/internal/membership/gossip_test.go
@@ -228,6 +228,41 @@
 	})
 }
 
+// Guards against soft updates that never arrive or that all instances send at
+// the same time, and against an urgent key prefix that waits. Fails if the
+// times between updates are not random, or if urgent prefixes wait.
+func TestSoftUpdates(t *testing.T) {
+	simulate(t, 20, nil, func(c *cluster) {
+		for _, n := range c.nodes {
+			n.SetLoadClass(3)
+			n.SetRulesRevision(7)
+			n.SetKeyPrefix("later", false)
+		}
+		c.nodes["r0-0"].SetKeyPrefix("now", true)
+		prefix := func(n *Node) bool { m, _ := n.View().Get("r0-0"); return m.KeyPrefix == "now" }
+		c.until("urgent prefix", time.Second, prefix)
+		updated := func(n *Node) bool { m := n.self(); return m.LoadClass == 3 && m.RulesRevision == 7 }
+		time.Sleep(SoftInterval(20) / 2)
+		count := 0
+		for _, n := range c.nodes {
+			if updated(n) {
+				count++
+			}
+		}
+		if count < 3 || count > 17 {
+			t.Errorf("%d of 20 sent their update in half of the interval", count)
+		}
+		c.until("updates", SoftInterval(20), func(n *Node) bool {
+			for _, m := range n.View().Members {
+				if m.LoadClass != 3 || m.RulesRevision != 7 || m.KeyPrefix == "" {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
 // Guards against idle traffic over its budget of 500 bytes/s for each
 // instance, and records what a change costs.
 func TestTraffic(t *testing.T) {
--- a/internal/membership/loopback_test.go
+++ b/internal/membership/loopback_test.go
@@ -102,7 +102,7 @@
 	for _, p := range all {
 		for !ok(p.node) {
 			if time.Since(start) > limit {
-				t.Fatalf("%s: not at %s after %v", what, p.node.self().ID, limit)
+				t.Fatalf("%s: not at %s after %v: %s", what, p.node.self().ID, limit, describe(p.node))
 			}
 			time.Sleep(time.Millisecond)
 		}
@@ -110,6 +110,17 @@
 	t.Logf("%s: everywhere after %v", what, time.Since(start).Round(time.Millisecond))
 }
 
+// describe shows the states of all members that are not alive.
+func describe(n *Node) string {
+	text := fmt.Sprint(n.Stats())
+	for _, m := range n.View().Members {
+		if m.State != StateAlive {
+			text += fmt.Sprintf(" %s is %v at version %d", m.ID, m.State, m.Version)
+		}
+	}
+	return text
+}
+
 // Guards against faults that only real connections show, against news that
 // takes over 1 s, and against idle traffic over 500 bytes/s by the counters of
 // the connections.
@@ -173,6 +184,7 @@
 	stdin, _ := child.StdinPipe()
 	var out strings.Builder
 	child.Stdout = &out
+	child.Stderr = &out
 	if err := child.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -183,6 +195,11 @@
 	untilAll(t, "suspicion", 5*time.Second, all, func(n *Node) bool { return state(n, "child0") != StateAlive })
 	untilAll(t, "death", 6*time.Second, all, func(n *Node) bool { return state(n, "child0") == StateDead })
 	_ = child.Process.Signal(syscall.SIGCONT)
+	defer func() {
+		if t.Failed() {
+			t.Logf("child: %q", out.String())
+		}
+	}()
 	untilAll(t, "return", 8*time.Second, all, func(n *Node) bool { return alive(n) == 6 })
 	_ = stdin.Close()
 	if err := child.Wait(); err != nil || !strings.Contains(out.String(), "6 alive, paused true") {
--- a/internal/membership/soft.go
+++ b/internal/membership/soft.go
@@ -6,15 +6,16 @@
 )
 
 const (
-	// softPerMember and softMin determine SoftInterval. A record of about
-	// 100 bytes passes an instance about 10 times, so that soft updates cost
-	// at most 2 KB/s at any number of members.
-	softPerMember = 500 * time.Millisecond
+	// softPerMember and softMin determine SoftInterval. A change costs each
+	// instance about 1 KB sent and 1 KB received (TestTraffic), so that soft
+	// updates take at most 2 KB/s at any number of members, if all of them
+	// change something in each interval.
+	softPerMember = time.Second
 	softMin       = 2 * time.Second
 )
 
-// SoftInterval is the time between two updates of a member's record that are
-// not urgent. All members change some fields at the same time, for example the
+// SoftInterval is the mean time between two updates of a member's record that
+// are not urgent; the longest is 1.5 times as long. All members change some fields at the same time, for example the
 // rules revision, so that the interval grows with their number.
 func SoftInterval(members int) time.Duration {
 	return max(softMin, time.Duration(members)*softPerMember)
@@ -49,15 +50,14 @@
 	return m != before
 }
 
-// due reports whether an update is due. Its time in the interval is random, so
-// that the members don't send theirs all at once.
+// due reports whether an update is due. The times between updates are random
+// around the interval, so that members that started together, or have taken
+// new rules together, don't send theirs all at once.
 func (s *softUpdates) due(now time.Time, interval time.Duration, r *rand.Rand) bool {
-	if s.next.IsZero() {
-		s.next = now.Add(time.Duration(r.Int64N(int64(interval))))
-	}
 	if now.Before(s.next) {
 		return false
 	}
-	s.next = now.Add(interval)
-	return true
+	first := s.next.IsZero()
+	s.next = now.Add(interval/2 + time.Duration(r.Int64N(int64(interval))))
+	return !first
 }
