--- a/internal/configsync/document.go
+++ b/internal/configsync/document.go
@@ -12,18 +12,21 @@
 // by one that does not descend from it. An instance with a document that does
 // not appear in the lineage of a newer one has found a fork.
 //
-// An edit is accepted when it was written to the store and more than half of
-// the relays have it in force. It is written only after at least half of the
-// relays said which document they have, and they agree. A relay that finds a
-// fork between the store and itself asks the others and issues the document of
-// the majority again, with a higher revision, by a compare-and-swap. The
-// lineage of the new document marks the other branch as overruled, so that
-// holders of either branch take it. Two branches cannot both have a majority,
-// so that an accepted edit is never the overruled one.
+// An edit is accepted when it was written to the store, more than half of the
+// relays have it in force, and the store still has it. It is written only
+// after at least half of the relays said which document they have, and they
+// agree. A relay that finds a fork between the store and itself asks the
+// others and issues the document of the majority again, with a higher
+// revision, by a compare-and-swap. The lineage of the new document marks the
+// other branch as overruled, so that holders of either branch take it. Two
+// branches cannot both have a majority, so that an accepted edit is not the
+// overruled one.
 //
-// What can still lose an accepted edit: the store is restored and, before a
-// relay has written the document back, so many relays that had it in force
-// restart, lose contact or stop being relays that the rest do not find it.
+// What can still lose an accepted edit is a restore of the store that coincides
+// with the loss of relays that had the edit in force (by a restart, lost
+// contact, or a change of relays): before a relay has written the document
+// back, or while an edit is in progress that began before the restore and may
+// swap by a revision number that the store uses a second time.
 package configsync
 
 import (
--- a/internal/configsync/fork_test.go
+++ b/internal/configsync/fork_test.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// Guards against "accepted" without a majority of relays, or with one that
-// has another branch.
+// Guards against "accepted" without a majority of relays, with one that has
+// another branch, or although the store has lost the edit again.
 func TestConfirmNeedsMajority(t *testing.T) {
 	root, a, b, c := branches()
 	for name, x := range map[string]struct {
@@ -124,6 +124,14 @@
 			t.Errorf("%s: %+v", name, res)
 		}
 	}
+	m := newMemory()
+	m.set(t, root)
+	e := relays(1, m)[0]
+	e.Fleet = fixedFleet{heads(b, b), 2}
+	e.pause = func(context.Context, int) error { return context.DeadlineExceeded }
+	if res := e.confirm(t.Context(), Request{EditID: "b"}, root, b); res.Outcome != Unknown {
+		t.Errorf("the store was restored meanwhile: %+v", res)
+	}
 }
 
 // Guards against two groups of instances that keep different rules of one
