capacity: confirm by the list only after a while in it

The random test saw 4 requests in flight with 2 slots owned, once in about 27000 cases: an instance that the platform listed again was confirmed by its first reading and used its slots, while another instance took them by its reading from just before. A late read of the record was ruled out: the instance had not read it.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -129,6 +129,7 @@
 		s.own.confirmed = time.Time{}
 		s.own.pausedAt = t
 		clear(s.own.missing)
+		s.own.inList = time.Time{}
 		// The rules may have changed during the pause.
 		s.own.claimAfter = t.Add(RaiseDelay)
 		s.own.pauses++
--- a/internal/capacity/ownership.go
+++ b/internal/capacity/ownership.go
@@ -73,8 +73,8 @@
 	// joined is when the members last changed.
 	joined time.Time
 	listed time.Time
-	// inList is when the instance last saw itself in the list, or zero if it
-	// is missing from the latest reading.
+	// inList is since when each reading of the list held this instance, or
+	// zero if the latest did not.
 	inList  time.Time
 	missing map[model.InstanceID]time.Time
 	marks   map[model.InstanceID]mark
@@ -197,16 +197,12 @@
 	defer s.mu.Unlock()
 	t := s.enter(now)
 	o := &s.own
-	if ids[s.cfg.Self] {
-		s.confirm(started, ListLag)
-		o.inList = t
-	} else {
-		o.inList = time.Time{}
-	}
 	if t.Sub(o.listed) > listGap || started.Before(o.pausedAt) {
 		clear(o.missing)
+		o.inList = time.Time{}
 	}
 	o.listed = t
+	s.noteSelf(t, started, ids[s.cfg.Self])
 	s.noteMissing(t, ids)
 }
 
@@ -216,7 +212,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.enter(now)
-	return !s.own.inList.IsZero() && t.Sub(s.own.inList) < listGap
+	o := &s.own
+	return !o.inList.IsZero() && o.listed.Sub(o.inList) >= listGap+ListLag && t.Sub(o.listed) < listGap
+}
+
+// noteSelf takes whether the list holds this instance. It confirms only once
+// that lasted so long that each instance that reads the list without a gap has
+// seen it too. Confirmed at the first reading after it was missing, the
+// instance used slots that others took by their reading just before.
+func (s *State) noteSelf(t, started time.Time, listed bool) {
+	o := &s.own
+	switch {
+	case !listed:
+		o.inList = time.Time{}
+	case o.inList.IsZero():
+		o.inList = t
+	case t.Sub(o.inList) >= listGap+ListLag:
+		s.confirm(started, ListLag)
+	}
 }
 
 func (s *State) noteMissing(t time.Time, ids map[model.InstanceID]bool) {
--- a/internal/capacity/propose.go
+++ b/internal/capacity/propose.go
@@ -93,11 +93,15 @@
 // reclaimDue reports whether the holder's slots may be taken. Its requests
 // ended within ReclaimAfter of its last confirmation. A confirmation by the
 // record is older than the note in it, one by the list is older than the
-// first reading without the holder.
+// first reading without the holder. Time after the latest reading does not
+// count.
 func (s *State) reclaimDue(t time.Time, id model.InstanceID, since time.Time) bool {
 	m, marked := s.own.marks[id]
 	wait := ReclaimAfter + s.rankWait(id)
-	return marked && t.Sub(m.seen) >= wait && t.Sub(since) >= wait
+	if !marked || t.Sub(s.own.listed) > listGap {
+		return false
+	}
+	return t.Sub(m.seen) >= wait && s.own.listed.Sub(since) >= wait
 }
 
 func (s *State) rankWait(id model.InstanceID) time.Duration {
--- a/internal/capacity/scenario_test.go
+++ b/internal/capacity/scenario_test.go
@@ -270,3 +270,31 @@
 		}
 	})
 }
+
+// Guards against an instance that is listed again, uses its slots at once, and
+// loses them by a reading from just before. Confirmed by its first reading, it
+// had "4 requests of entries in flight, 2 slots owned".
+func TestListedAgainIsNotConfirmedAtOnce(t *testing.T) {
+	w := settled(t, 2, 0, map[model.Service]int{"entries": 4})
+	cut, other := w.nodes[0], w.nodes[1]
+	w.gone[cut.id] = w.now
+	for second := range 75 {
+		w.advance(time.Second)
+		w.read(other)
+		w.list(other, 0)
+		if second < 20 {
+			w.write(other, "ok")
+		}
+	}
+	delete(w.gone, cut.id)
+	w.hold = 20 * time.Second
+	w.list(cut, 0)
+	w.fill(cut)
+	w.write(other, "ok")
+	w.write(other, "ok")
+	w.fill(other)
+	w.check()
+	if w.record().Holders[cut.id] != nil {
+		t.Errorf("not reclaimed: %s", w.value)
+	}
+}
