--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,8 +103,8 @@
 		rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		store:       etcd.New(s.Store),
 		source:      platform.NewClient(s.Platform.URL),
-		rpc:         peer.NewServer(peer.ServerOptions{}),
 	}
+	d.rpc = peer.NewServer(peer.ServerOptions{OnPanic: d.rpcPanic})
 	d.pool = peer.NewPool(func(id model.InstanceID) (netip.AddrPort, bool) { return d.members.Resolve(id) }, peer.PoolOptions{})
 	d.buildRules()
 	d.buildRouting(now)
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -26,6 +26,11 @@
 	d.log.Log(kind).Str("key", configsync.Key).Uint64("in_force", e.InForce.Revision).Uint64("stored", e.Stored.Revision).Err(e.Err).Send()
 }
 
+// rpcPanic logs a fault in a method that another instance called.
+func (d *Daemon) rpcPanic(method string, value any, stack []byte) {
+	d.log.Log(events.MethodPanic).Str("method", method).Interface("panic", value).Bytes("stack", stack).Send()
+}
+
 // logStates logs the members that have died or come back since the last call.
 // Only housekeep calls it.
 func (d *Daemon) logStates(view *membership.View) {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -59,6 +59,9 @@
 	HandlerPanic = Event{303, "handler panicked", zerolog.ErrorLevel,
 		"A request met a fault in the program. Its connection was closed; other requests go on.",
 		"Report the line with its stack."}
+	MethodPanic = Event{305, "method panicked", zerolog.ErrorLevel,
+		"A call of another instance met a fault in the program. The call failed; the process goes on.",
+		"Report the line with its stack."}
 	Quarantined = Event{304, "request kind quarantined", zerolog.WarnLevel,
 		"Requests with the same content crashed several endpoints. They are refused for 10 minutes.",
 		"Find the caller by the path in its trace and mend the endpoint. The quarantine ends by itself."}
