--- a/cmd/jujubectl/fleet.go
+++ b/cmd/jujubectl/fleet.go
@@ -71,9 +71,9 @@
 			return err
 		}
 		a.show(e, func(w io.Writer) {
-			row(w, "INSTANCE", "REGION", "ADDRESS")
+			row(w, "INSTANCE", "REGION", "ADDRESS", "WHY")
 			for _, x := range e.Entries {
-				row(w, x.Instance, x.Region, x.Address)
+				row(w, x.Instance, x.Region, x.Address, x.Reason)
 			}
 			fmt.Fprintf(w, "\nFor caller %s during %s, the first one preferred.\n", e.Caller, seconds(e.TTL))
 		})
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -58,6 +58,8 @@
 	Instance model.InstanceID `json:"instance"`
 	Region   model.Region     `json:"region"`
 	Address  string           `json:"address"`
+	// Reason says why the instance is named.
+	Reason string `json:"reason,omitempty"`
 }
 
 // Entries is the answer to PathEntries, the instance to use first at the
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -101,8 +101,13 @@
 // Entries implements control.Lookup.
 func (o operatorLookup) Entries(_ time.Time, caller netip.Addr) ([]control.Entry, time.Duration) {
 	var out []control.Entry
-	for _, s := range o.lookups.Directory().Lookup(caller).Entries {
-		out = append(out, control.Entry{Instance: s.ID, Region: s.Region, Address: s.EntryAddr.String()})
+	d := o.lookups.Directory()
+	reasons := make(map[model.InstanceID]string)
+	for _, i := range d.Explain(caller).Instances {
+		reasons[i.ID] = i.Reason
+	}
+	for _, s := range d.Lookup(caller).Entries {
+		out = append(out, control.Entry{Instance: s.ID, Region: s.Region, Address: s.EntryAddr.String(), Reason: reasons[s.ID]})
 	}
 	return out, lookup.TTL
 }
