--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -190,6 +190,8 @@
 		Directory:      directory{d.lookups},
 		Log:            d.log,
 		Ready:          d.rules.Ready,
+		MaxBodyBytes:   int64(d.settings.Requests.MaxBodyBytes),
+		MaxInFlight:    d.settings.Requests.MaxInFlight,
 		DefaultTimeout: time.Duration(d.settings.Requests.DefaultTimeout),
 		MaxTimeout:     time.Duration(d.settings.Requests.MaxTimeout),
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -99,6 +99,11 @@
 	// MaxTimeout bounds the time to the deadline. Slots are held until then if
 	// a response is lost, so that long deadlines cost capacity. Default 60 s.
 	MaxTimeout time.Duration
+	// MaxBodyBytes bounds a request body, at most 1 MB, which is also the
+	// default. Bodies are in memory until the request is answered.
+	MaxBodyBytes int64
+	// MaxInFlight bounds the requests in the instance at once. Default 2000.
+	MaxInFlight int
 	// EntriesTTL is how long callers keep the list of instances. A shorter
 	// time moves them sooner and costs more requests. Default 10 s.
 	EntriesTTL time.Duration
@@ -108,11 +113,14 @@
 }
 
 const (
-	defaultTimeout    = 10 * time.Second
-	defaultMaxTimeout = 60 * time.Second
-	defaultTTL        = 10 * time.Second
-	servicesPath      = "/v1/services/"
-	maxServiceBytes   = 64
+	// defaultMaxInFlight is several times what an instance has slots for, so
+	// that it bounds memory and not the queues.
+	defaultMaxInFlight = 2000
+	defaultTimeout     = 10 * time.Second
+	defaultMaxTimeout  = 60 * time.Second
+	defaultTTL         = 10 * time.Second
+	servicesPath       = "/v1/services/"
+	maxServiceBytes    = 64
 	// maxHeaderBytes bounds the header fields of a request.
 	maxHeaderBytes = 16 << 10
 	// serverHeaderBytes is the bound of net/http, whose own response has no
@@ -152,6 +160,12 @@
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
+	if cfg.MaxBodyBytes <= 0 || cfg.MaxBodyBytes > maxBodyBytes {
+		cfg.MaxBodyBytes = maxBodyBytes
+	}
+	if cfg.MaxInFlight <= 0 {
+		cfg.MaxInFlight = defaultMaxInFlight
+	}
 	setDefault(&cfg.DefaultTimeout, defaultTimeout)
 	setDefault(&cfg.MaxTimeout, defaultMaxTimeout)
 	setDefault(&cfg.EntriesTTL, defaultTTL)
--- /dev/null
+++ b/internal/entry/limits_test.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"jujubestile.example/jujubestile/internal/dispatch"
+)
+
+// Guards against settings of the size and number of requests, and against a
+// missing rules revision, that the handler ignores.
+func TestLimits(t *testing.T) {
+	h, l := newTestHandler(ok)
+	h.cfg.MaxBodyBytes = 10
+	if r := do(h, "POST", "/v1/services/entries/", strings.Repeat("b", 11), KeyHeader, l.Prefix()+"big"); r.Code != 413 {
+		t.Errorf("body over the limit: status %d", r.Code)
+	}
+	if r := do(h, "POST", "/v1/services/entries/", "small", KeyHeader, l.Prefix()+"small"); r.Code != 201 {
+		t.Errorf("body within the limit: status %d", r.Code)
+	}
+	h.cfg.Ready = func() bool { return false }
+	if r := do(h, "GET", "/v1/services/entries/", ""); r.Code != 503 || r.Header().Get(OutcomeHeader) != "not-run" {
+		t.Errorf("not ready: status %d, outcome %s", r.Code, r.Header().Get(OutcomeHeader))
+	}
+}
+
+// Guards against an instance that takes in more requests than it is set to.
+func TestMaxInFlight(t *testing.T) {
+	release, running := make(chan struct{}), make(chan struct{})
+	h, _ := newTestHandler(func(ctx context.Context, r *dispatch.Request, c dispatch.Claim) Result {
+		close(running)
+		<-release
+		return ok(ctx, r, c)
+	})
+	h.cfg.MaxInFlight = 1
+	done := make(chan int)
+	go func() { done <- do(h, "GET", "/v1/services/entries/", "").Code }()
+	<-running
+	if r := do(h, "GET", "/v1/services/entries/", ""); r.Code != 503 || r.Header().Get(OutcomeHeader) != "not-run" {
+		t.Errorf("second request: status %d, outcome %s", r.Code, r.Header().Get(OutcomeHeader))
+	}
+	close(release)
+	if code := <-done; code != 201 {
+		t.Errorf("first request: status %d", code)
+	}
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -22,6 +22,10 @@
 		h.refuseDraining(w, r)
 		return
 	}
+	if h.InFlight() > h.cfg.MaxInFlight {
+		h.refuse(w, r, newProblem(http.StatusServiceUnavailable, "in-flight", "Too many requests in this instance", "").after(time.Second))
+		return
+	}
 	if h.cfg.Ready != nil && !h.cfg.Ready() {
 		h.refuseElsewhere(w, r, newProblem(http.StatusServiceUnavailable, "not-ready", "This instance does not take work yet", ""))
 		return
@@ -31,7 +35,7 @@
 		h.refuse(w, r, problem)
 		return
 	}
-	defer h.buffered.Release(bufferedSize(r))
+	defer h.buffered.Release(h.bufferedSize(r))
 	ctx := r.Context()
 	if !req.Repeatable {
 		// The work goes on without its caller, so that its outcome is recorded
@@ -125,18 +129,18 @@
 }
 
 // bufferedSize is how much of the memory for bodies a request may use.
-func bufferedSize(r *http.Request) int64 {
+func (h *Handler) bufferedSize(r *http.Request) int64 {
 	if r.ContentLength < 0 {
-		return maxBodyBytes
+		return h.cfg.MaxBodyBytes
 	}
 	return r.ContentLength
 }
 
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Problem) {
-	size := bufferedSize(r)
-	if size > maxBodyBytes {
+	size := h.bufferedSize(r)
+	if size > h.cfg.MaxBodyBytes {
 		w.Header().Set("Connection", "close")
-		return nil, newProblem(http.StatusRequestEntityTooLarge, "body-size", "Body over 1 MB", "")
+		return nil, newProblem(http.StatusRequestEntityTooLarge, "body-size", "Body over the limit", "")
 	}
 	if !h.buffered.TryAcquire(size) {
 		w.Header().Set("Connection", "close")
@@ -145,7 +149,7 @@
 	control := http.NewResponseController(w)
 	// Recorders in tests have no deadlines.
 	_ = control.SetReadDeadline(time.Now().Add(h.cfg.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.MaxBodyBytes))
 	if err != nil {
 		h.buffered.Release(size)
 		w.Header().Set("Connection", "close")
@@ -160,7 +164,7 @@
 	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.As(err, &tooLarge):
-		return newProblem(http.StatusRequestEntityTooLarge, "body-size", "Body over 1 MB", "")
+		return newProblem(http.StatusRequestEntityTooLarge, "body-size", "Body over the limit", "")
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return newProblem(http.StatusRequestTimeout, "body-timeout", "Body not received in time", "")
 	}
