Tell other instances which endpoints are ejected

A gossip topic spreads each ejection once; the receiver sets the endpoint aside and probes it. Ruled out: a shared verdict, because a single instance with a broken link would take endpoints from all others.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,6 +71,7 @@
 	admission      *admission.Control
 	quarantine     *quarantine.Quarantine
 	balancer       *balance.Balancer
+	ejections      *balance.EjectionNews
 	transport      *transport.Transport
 	dispatcher     *dispatch.Dispatcher
 	ledger         *ledger.Ledger
@@ -140,6 +141,7 @@
 	d.limiter = shift.New(newRand())
 	d.handover = shift.NewHandover(d.settings.Instance, d.settings.Region, time.Now)
 	d.balancer = balance.New(balance.Config{Instance: d.settings.Instance, ActiveProbes: true, Rand: newRand()})
+	d.ejections = balance.NewEjectionNews(newRand(), func(id model.EndpointID) { d.balancer.Suspect(time.Now(), id) })
 	d.router = route.New(route.Config{
 		Region: d.settings.Region, Incarnation: d.incarnation, Capacity: d.capacity,
 		Limiter: d.limiter, Handover: d.handover, Signals: d.signals,
@@ -161,7 +163,7 @@
 		},
 		Caller:       d.pool,
 		Source:       &timedSource{Source: d.source, began: &d.listing.began},
-		Topics:       []membership.Topic{d.rules, d.handover, d.quarantine, d.notices},
+		Topics:       []membership.Topic{d.rules, d.handover, d.quarantine, d.notices, d.ejections},
 		ListInterval: time.Duration(s.Platform.Poll),
 		Rand:         newRand(),
 		OnListing:    d.onListing,
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -16,6 +16,8 @@
 	// tickEvery is how often the router looks at caps and links of waiting
 	// requests.
 	tickEvery = 50 * time.Millisecond
+	// ejectionsEvery is how often other instances are told of new ejections.
+	ejectionsEvery = 200 * time.Millisecond
 	// announceEvery is how often the own record is brought up to date.
 	announceEvery = 500 * time.Millisecond
 	// notReadyAfter is how long after the start a missing rules revision is
@@ -69,7 +71,7 @@
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	started := time.Now()
-	var announced time.Time
+	var announced, told time.Time
 	var shape, seq uint64
 	for {
 		select {
@@ -81,6 +83,10 @@
 		d.router.Tick(now)
 		d.settleShifts()
 		d.noteReady(now, started)
+		if now.Sub(told) >= ejectionsEvery {
+			told = now
+			d.tellEjections()
+		}
 		if now.Sub(announced) < announceEvery {
 			continue
 		}
@@ -99,6 +105,13 @@
 	}
 }
 
+// tellEjections tells the other instances which endpoints this one has ejected.
+func (d *Daemon) tellEjections() {
+	if d.ejections.Report(d.balancer.Ejected()) {
+		d.members.Notify(d.ejections.Name())
+	}
+}
+
 // settleShifts tells the router that it knows where shifts stand: a peer has
 // answered, or the rules came from the store and no peer lives.
 func (d *Daemon) settleShifts() {
--- a/internal/proctest/overhead_test.go
+++ b/internal/proctest/overhead_test.go
@@ -26,7 +26,7 @@
 			at   float64
 		}{{"p50", 0.50}, {"p99", 0.99}} {
 			i := int(q.at * overheadRequests)
-			b.ReportMetric(float64((entry[i]-direct[i]).Microseconds()), q.name+"-added-us")
+			b.ReportMetric(float64((entry[i] - direct[i]).Microseconds()), q.name+"-added-us")
 		}
 	}
 }
