--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -88,6 +88,8 @@
 	drained, drainedByRules atomic.Bool
 	// lastPrefix is the announced key prefix. Only housekeep uses it.
 	lastPrefix string
+	// seenShape and seenSeq are those of the view that noteMembers saw last.
+	seenShape, seenSeq uint64
 	// dead holds the members that are logged as dead. Only housekeep uses it.
 	dead    map[model.InstanceID]bool
 	metrics metrics
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -72,7 +72,6 @@
 	defer tick.Stop()
 	started := time.Now()
 	var announced, told time.Time
-	var shape, seq uint64
 	for {
 		select {
 		case <-ctx.Done():
@@ -87,21 +86,25 @@
 			told = now
 			d.tellEjections()
 		}
-		if now.Sub(announced) < announceEvery {
-			continue
+		if now.Sub(announced) >= announceEvery {
+			announced = now
+			d.noteMembers(now)
+			d.announce()
 		}
-		announced = now
-		view := d.members.View()
-		if view.Seq != seq {
-			seq = view.Seq
-			d.past.note(now, view.Members)
-		}
-		if view.Shape != shape {
-			shape = view.Shape
-			d.logStates(view)
-			d.noteRegions(now, view)
-		}
-		d.announce()
+	}
+}
+
+// noteMembers takes the changes of the members since the last call.
+func (d *Daemon) noteMembers(now time.Time) {
+	view := d.members.View()
+	if view.Seq != d.seenSeq {
+		d.seenSeq = view.Seq
+		d.past.note(now, view.Members)
+	}
+	if view.Shape != d.seenShape {
+		d.seenShape = view.Shape
+		d.logStates(view)
+		d.noteRegions(now, view)
 	}
 }
 
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -31,11 +31,15 @@
 		c = singleAttempt{}
 	}
 	res := a.d.dispatcher.Do(ctx, r, c)
-	a.d.logRequest(r, res)
-	return entry.Result{
+	a.d.count(r, res)
+	out := entry.Result{
 		Outcome: res.Outcome, Response: res.Response, Status: statusOf(res.Reason),
-		Detail: string(res.Reason), Event: events.RequestNotAnswered.Number, RetryAfter: res.RetryAfter,
+		Detail: string(res.Reason), RetryAfter: res.RetryAfter,
 	}
+	if res.Outcome != model.OutcomeAnswered {
+		out.Event = a.d.logFailure(r, res)
+	}
+	return out
 }
 
 // statusOf returns the HTTP status of a request without an answer, or 0 for
@@ -50,17 +54,15 @@
 	return 0
 }
 
-func (d *Daemon) logRequest(r *dispatch.Request, res dispatch.Result) {
-	d.count(r, res)
-	if res.Outcome == model.OutcomeAnswered {
-		return
-	}
+// logFailure logs a request without an answer and returns the event's number.
+func (d *Daemon) logFailure(r *dispatch.Request, res dispatch.Result) int {
 	e := events.RequestNotAnswered
 	if res.Outcome == model.OutcomeUnknown {
 		e = events.RequestUnknown
 	}
 	d.log.Log(e).Str("service", string(r.Service)).Stringer("priority", r.Priority).Str("outcome", string(res.Outcome)).
 		Str("reason", string(res.Reason)).Int("attempts", res.Attempts).Str("endpoint", string(res.Endpoint)).Send()
+	return e.Number
 }
 
 // traced makes a span for the hop through this instance.
