Ask peers for slots that the record shows as unowned

Cause: an instance that read the capacity record before its peer's claim, and then lost the store, saw no owner in it and asked nobody for 20 s. Ruled out: the peer's refusal (no message was sent) and the admission queue (its requests were refused as queue-full because the instance had no slot). Slots that the record shows as unowned may have been claimed since, so the peers are asked. An instance that is not ready now refuses at once and names others, whatever it lacks; before, only without rules.

--- a/internal/capacity/borrow.go
+++ b/internal/capacity/borrow.go
@@ -352,7 +352,7 @@
 }
 
 // mayAsk reports whether the peer may have slots to lend. For the own region
-// the root record says who owns any.
+// the root record says who owns any, if it shows an owner of each slot.
 func (s *State) mayAsk(t time.Time, id model.InstanceID, k Key) bool {
 	lk := lenderKey{id, k}
 	if s.dem.asking[lk] || s.refuses(t, lk) {
@@ -362,7 +362,14 @@
 	if k.Region != s.cfg.Region || o.record == nil {
 		return true
 	}
-	return o.record.Holders[id].at(o.record.index(k.Service)) > 0
+	i := o.record.index(k.Service)
+	if i < 0 || o.totals[i] < o.caps[k.Service] {
+		// What the record shows as unowned may have been claimed since. When the
+		// store failed right after the first claims, an instance that had read
+		// the record before them asked nobody for 20 s.
+		return true
+	}
+	return o.record.Holders[id].at(i) > 0
 }
 
 func (s *State) refuses(t time.Time, lk lenderKey) bool {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -193,7 +193,7 @@
 		Classifier:     entry.ByRules(d.rules.Rules),
 		Directory:      directory{d.lookups},
 		Log:            d.log,
-		Ready:          d.rules.Ready,
+		Ready:          d.IsReady,
 		MaxBodyBytes:   int64(d.settings.Requests.MaxBodyBytes),
 		MaxInFlight:    d.settings.Requests.MaxInFlight,
 		DefaultTimeout: time.Duration(d.settings.Requests.DefaultTimeout),
