Set the time format of log lines once

Cause of a race that the demo's test showed in a fresh clone: each new logger set the library's global format while loggers of other instances were writing.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -26,9 +26,14 @@
 	z zerolog.Logger
 }
 
+// The format is a global of the library. Loggers of several instances in one
+// process read it while they log, so it is set once.
+func init() {
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
+}
+
 // New returns a logger for events at least as severe as level.
 func New(w io.Writer, level zerolog.Level, instance string) Logger {
-	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	return Logger{z: zerolog.New(w).Level(level).With().Timestamp().Str("instance", instance).Logger()}
 }
 
