--- a/cmd/jujubestiled/run.go
+++ b/cmd/jujubestiled/run.go
@@ -60,7 +60,9 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	level, _ := zerolog.ParseLevel(s.Log.Level)
-	log := events.New(os.Stderr, level, string(s.Instance))
+	sink := events.NewSink(os.Stdout)
+	defer sink.Close(sinkFlush)
+	log := events.New(sink, level, string(s.Instance))
 	tracer, err := telemetry.Open(s.Trace.File, string(s.Instance), s.Trace.Sample)
 	if err != nil {
 		log.Log(events.StartFailed).Err(err).Send()
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -43,20 +43,20 @@
 	maxRetryAfter = 10 * time.Second
 )
 
-// Control implements dispatch.Admission for all services. It is safe for
+// Control implements forward.Gate for all services. It is safe for
 // concurrent use.
 type Control struct {
-	router dispatch.Router
+	router Router
 
 	mu      sync.RWMutex
 	queues  map[model.Service]*queue
 	minimum [numClasses]float64
 }
 
-var _ dispatch.Admission = (*Control)(nil)
+var _ forward.Gate = (*Control)(nil)
 
 // New returns a Control over the slots of a Router.
-func New(r dispatch.Router) *Control {
+func New(r Router) *Control {
 	return &Control{router: r, queues: map[model.Service]*queue{}}
 }
 
@@ -76,8 +76,8 @@
 	}
 }
 
-// Admit implements dispatch.Admission.
-func (c *Control) Admit(ctx context.Context, n dispatch.Need) (dispatch.Permit, error) {
+// Admit implements forward.Gate.
+func (c *Control) Admit(ctx context.Context, n forward.Need) (forward.Permit, error) {
 	if ctx.Err() != nil {
 		return nil, cancelled(ctx)
 	}
@@ -91,8 +91,8 @@
 	return t.wait(ctx)
 }
 
-// TryAdmit implements dispatch.Admission.
-func (c *Control) TryAdmit(now time.Time, n dispatch.Need) (dispatch.Permit, bool) {
+// TryAdmit implements forward.Gate.
+func (c *Control) TryAdmit(now time.Time, n forward.Need) (forward.Permit, bool) {
 	t := c.queue(n.Service).tryEnter(now, n)
 	if t == nil {
 		return nil, false
--- a/internal/admission/admit_test.go
+++ b/internal/admission/admit_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -17,13 +17,13 @@
 // the end of the cap on traffic shifts, for which there is no signal.
 func TestWaitersWake(t *testing.T) {
 	const freeAt = 1010 * time.Millisecond // not when waiting requests poll
-	ways := map[string]func(c *Control, r *fakeRouter, p dispatch.Permit){
-		"release":   func(_ *Control, _ *fakeRouter, p dispatch.Permit) { p.Release() },
-		"held slot": func(_ *Control, _ *fakeRouter, p dispatch.Permit) { p.ReleaseAt(time.Now().Add(time.Second)) },
-		"signal": func(_ *Control, r *fakeRouter, _ dispatch.Permit) {
+	ways := map[string]func(c *Control, r *fakeRouter, p forward.Permit){
+		"release":   func(_ *Control, _ *fakeRouter, p forward.Permit) { p.Release() },
+		"held slot": func(_ *Control, _ *fakeRouter, p forward.Permit) { p.ReleaseAt(time.Now().Add(time.Second)) },
+		"signal": func(_ *Control, r *fakeRouter, _ forward.Permit) {
 			fakeSlot{r}.Release()
 		},
-		"cap": func(_ *Control, r *fakeRouter, _ dispatch.Permit) {
+		"cap": func(_ *Control, r *fakeRouter, _ forward.Permit) {
 			r.mu.Lock()
 			r.n++
 			r.mu.Unlock()
@@ -33,9 +33,9 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := newRouter(1)
-				r.err = dispatch.ErrShiftCapped
+				r.err = ErrShiftCapped
 				c := New(r)
-				n := dispatch.Need{Service: "s", Priority: 1, Deadline: time.Now().Add(time.Hour)}
+				n := forward.Need{Service: "s", Priority: 1, Deadline: time.Now().Add(time.Hour)}
 				p, err := c.Admit(t.Context(), n)
 				if err != nil {
 					t.Fatal(err)
@@ -59,13 +59,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRouter(1)
 		c := New(r)
-		n := dispatch.Need{Service: "s", Priority: 2, Deadline: time.Now().Add(time.Hour)}
+		n := forward.Need{Service: "s", Priority: 2, Deadline: time.Now().Add(time.Hour)}
 		p, _ := c.Admit(t.Context(), n)
 		ctx, cancel := context.WithCancel(t.Context())
 		time.AfterFunc(time.Second, cancel)
 		_, err := c.Admit(ctx, n)
-		var refusal *dispatch.RefusalError
-		if !errors.As(err, &refusal) || refusal.Reason != dispatch.ReasonCancelled {
+		var refusal *forward.RefusalError
+		if !errors.As(err, &refusal) || refusal.Reason != forward.ReasonCancelled {
 			t.Fatalf("err %v", err)
 		}
 		p.Release()
@@ -84,14 +84,14 @@
 func TestRefusedWhileWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRouter(1)
-		r.err = dispatch.ErrShiftCapped
+		r.err = ErrShiftCapped
 		c := New(r)
-		p, _ := c.Admit(t.Context(), dispatch.Need{Service: "s", Priority: 1, Deadline: time.Now().Add(time.Hour)})
+		p, _ := c.Admit(t.Context(), forward.Need{Service: "s", Priority: 1, Deadline: time.Now().Add(time.Hour)})
 		p.Answered(100 * time.Millisecond)
 		begin := time.Now()
-		_, err := c.Admit(t.Context(), dispatch.Need{Service: "s", Priority: 1, Deadline: begin.Add(300 * time.Millisecond)})
-		var refusal *dispatch.RefusalError
-		if !errors.As(err, &refusal) || refusal.Reason != dispatch.ReasonShiftCapped || refusal.RetryAfter < minRetryAfter {
+		_, err := c.Admit(t.Context(), forward.Need{Service: "s", Priority: 1, Deadline: begin.Add(300 * time.Millisecond)})
+		var refusal *forward.RefusalError
+		if !errors.As(err, &refusal) || refusal.Reason != forward.ReasonShiftCapped || refusal.RetryAfter < minRetryAfter {
 			t.Fatalf("err %v, refusal %+v", err, refusal)
 		}
 		if took := time.Since(begin); took >= 300*time.Millisecond {
@@ -104,7 +104,7 @@
 // reserve of a more urgent priority.
 func TestTryAdmit(t *testing.T) {
 	c := New(newRouter(4))
-	n := dispatch.Need{Service: "s", Priority: 2, Deadline: time.Now().Add(time.Hour)}
+	n := forward.Need{Service: "s", Priority: 2, Deadline: time.Now().Add(time.Hour)}
 	for i := range 4 {
 		_, ok := c.TryAdmit(time.Now(), n)
 		if ok != (i < 3) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -37,7 +37,7 @@
 // queue is the state of one service.
 type queue struct {
 	service model.Service
-	router  dispatch.Router
+	router  Router
 
 	mu       sync.Mutex
 	waiting  [numClasses]list
@@ -59,7 +59,7 @@
 	refused    [numClasses]uint64
 }
 
-func newQueue(s model.Service, r dispatch.Router, minimum [numClasses]float64) *queue {
+func newQueue(s model.Service, r Router, minimum [numClasses]float64) *queue {
 	return &queue{service: s, router: r, minimum: minimum}
 }
 
@@ -70,7 +70,7 @@
 }
 
 // enter grants, queues or refuses a request.
-func (q *queue) enter(now time.Time, n dispatch.Need) (t *ticket, granted bool, err error) {
+func (q *queue) enter(now time.Time, n forward.Need) (t *ticket, granted bool, err error) {
 	t = &ticket{q: q, need: n, class: classOf(n.Priority), enqueued: now}
 	q.mu.Lock()
 	q.enqueue(now, t)
@@ -89,7 +89,7 @@
 }
 
 // tryEnter grants a request only if nobody would have to wait for it.
-func (q *queue) tryEnter(now time.Time, n dispatch.Need) *ticket {
+func (q *queue) tryEnter(now time.Time, n forward.Need) *ticket {
 	t := &ticket{q: q, need: n, class: classOf(n.Priority), enqueued: now}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -114,18 +114,18 @@
 func (q *queue) enqueue(now time.Time, t *ticket) {
 	q.advance(now)
 	if !q.canFinish(now, t) || q.waitsTooLong(now, t) {
-		q.refuse(t, dispatch.ReasonDeadline)
+		q.refuse(t, forward.ReasonDeadline)
 		return
 	}
 	l := &q.waiting[t.class]
 	if l.n >= q.limit() {
 		if !q.overloaded(now, t.class) {
-			q.refuse(t, dispatch.ReasonQueueFull)
+			q.refuse(t, forward.ReasonQueueFull)
 			return
 		}
 		oldest := l.oldest
 		l.remove(oldest)
-		q.refuse(oldest, dispatch.ReasonQueueFull)
+		q.refuse(oldest, forward.ReasonQueueFull)
 	}
 	l.push(t)
 }
@@ -204,7 +204,7 @@
 	q.mu.Lock()
 	if t.state == stateWaiting && !q.canFinish(now, t) {
 		q.waiting[t.class].remove(t)
-		q.refuse(t, dispatch.ReasonDeadline)
+		q.refuse(t, forward.ReasonDeadline)
 	}
 	cancels := q.serveLocked(now)
 	q.mu.Unlock()
@@ -314,7 +314,7 @@
 		switch {
 		case !q.canFinish(now, t):
 			l.remove(t)
-			q.refuse(t, dispatch.ReasonDeadline)
+			q.refuse(t, forward.ReasonDeadline)
 		case tries > 0 && !t.need.Deadline.Before(deadline):
 			tries++
 		default:
@@ -327,7 +327,7 @@
 				q.grant(now, t, slot)
 				return true
 			}
-			q.capped = q.capped || errors.Is(err, dispatch.ErrShiftCapped)
+			q.capped = q.capped || errors.Is(err, ErrShiftCapped)
 		}
 		t = following
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -13,7 +13,7 @@
 
 	_ "jujubestile.example/jujubestile/internal/fixedseed"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -29,10 +29,10 @@
 }
 
 func newRouter(n int) *fakeRouter {
-	return &fakeRouter{n: n, err: dispatch.ErrNoSlot, freed: make(chan struct{}, 1)}
+	return &fakeRouter{n: n, err: ErrNoSlot, freed: make(chan struct{}, 1)}
 }
 
-func (r *fakeRouter) Take(time.Time, dispatch.Need) (dispatch.Slot, error) {
+func (r *fakeRouter) Take(time.Time, forward.Need) (forward.Slot, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.taken >= r.n {
@@ -51,8 +51,8 @@
 func (r *fakeRouter) Freed(model.Service) <-chan struct{} { return r.freed }
 func (s fakeSlot) Region() model.Region                   { return "r" }
 func (s fakeSlot) ReleaseAt(t time.Time)                  { time.AfterFunc(time.Until(t), s.Release) }
-func need(p model.Priority, deadline time.Time) dispatch.Need {
-	return dispatch.Need{Service: "s", Priority: p, Deadline: deadline}
+func need(p model.Priority, deadline time.Time) forward.Need {
+	return forward.Need{Service: "s", Priority: p, Deadline: deadline}
 }
 
 type fakeSlot struct{ r *fakeRouter }
@@ -184,7 +184,7 @@
 }
 
 // enter enters a request into both queues. It returns nil if it was refused.
-func (m *naiveQueue) enter(t *rapid.T, q *queue, now time.Time, n dispatch.Need) *ticket {
+func (m *naiveQueue) enter(t *rapid.T, q *queue, now time.Time, n forward.Need) *ticket {
 	class := classOf(n.Priority)
 	full := m.count(class) >= max(8, 2*m.slots)
 	newestFirst := m.oldest(now, class) > overloadAfter
@@ -254,7 +254,7 @@
 	now := start.Add(80 * time.Millisecond)
 	q.answered(now, critical, 100*time.Millisecond)
 	q.release(now, first, now)
-	if late.state != stateRefused || late.refusal.Reason != dispatch.ReasonDeadline || late.refusal.RetryAfter <= 0 {
+	if late.state != stateRefused || late.refusal.Reason != forward.ReasonDeadline || late.refusal.RetryAfter <= 0 {
 		t.Errorf("state %d, refusal %+v at dequeue, want a refusal with Retry-After", late.state, late.refusal)
 	}
 }
--- /dev/null
+++ b/internal/admission/router.go
@@ -0,0 +1,32 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/forward"
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// Errors of a Router.
+const (
+	// ErrNoSlot means that no region has a free slot for the request.
+	ErrNoSlot = errors.ConstError("no free slot")
+	// ErrShiftCapped means that slots are free only in regions to which the
+	// cap on traffic shifts lets no more requests go now.
+	ErrShiftCapped = errors.ConstError("traffic shift cap reached")
+)
+
+// Router chooses the region of a request and takes a slot there.
+type Router interface {
+	// Take takes a slot or returns ErrNoSlot or ErrShiftCapped. It does not
+	// wait.
+	Take(now time.Time, n forward.Need) (forward.Slot, error)
+	// Slots returns how many slots the instance may use for the service now,
+	// over all regions, free or taken.
+	Slots(now time.Time, s model.Service) int
+	// Freed returns a channel that receives a value after a slot of the
+	// service may have become free. One value may stand for several slots.
+	Freed(s model.Service) <-chan struct{}
+}
--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/forward"
 )
 
-func (q *queue) grant(now time.Time, t *ticket, slot dispatch.Slot) {
+func (q *queue) grant(now time.Time, t *ticket, slot forward.Slot) {
 	t.slot = slot
 	t.state = stateGranted
 	t.granted = now
@@ -16,12 +16,12 @@
 	}
 }
 
-func (q *queue) refuse(t *ticket, reason dispatch.Reason) {
+func (q *queue) refuse(t *ticket, reason forward.Reason) {
 	t.state = stateRefused
-	if q.capped && reason == dispatch.ReasonDeadline {
-		reason = dispatch.ReasonShiftCapped
+	if q.capped && reason == forward.ReasonDeadline {
+		reason = forward.ReasonShiftCapped
 	}
-	t.refusal = &dispatch.RefusalError{Reason: reason, RetryAfter: q.retryAfter(t)}
+	t.refusal = &forward.RefusalError{Reason: reason, RetryAfter: q.retryAfter(t)}
 	q.refused[t.class]++
 	if t.done != nil {
 		close(t.done)
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -38,13 +38,13 @@
 // after done was closed.
 type ticket struct {
 	q        *queue
-	need     dispatch.Need
+	need     forward.Need
 	class    int
 	state    state
 	enqueued time.Time
 	granted  time.Time
-	slot     dispatch.Slot
-	refusal  *dispatch.RefusalError
+	slot     forward.Slot
+	refusal  *forward.RefusalError
 	done     chan struct{} // only for a ticket that waited
 
 	prev, next *ticket // in the list of waiting or of preemptible tickets
@@ -54,11 +54,11 @@
 	cancel     func() // of a preemptible attempt
 }
 
-var _ dispatch.Permit = (*ticket)(nil)
+var _ forward.Permit = (*ticket)(nil)
 
 // wait returns when the ticket is granted or refused. While it waits it hands
 // out slots that the Router freed, also to other tickets.
-func (t *ticket) wait(ctx context.Context) (dispatch.Permit, error) {
+func (t *ticket) wait(ctx context.Context) (forward.Permit, error) {
 	freed := t.q.router.Freed(t.need.Service)
 	poll := time.NewTimer(t.q.nextPoll(time.Now(), t))
 	defer poll.Stop()
@@ -93,33 +93,33 @@
 
 func cancelled(ctx context.Context) error {
 	if ctx.Err() == context.DeadlineExceeded {
-		return &dispatch.RefusalError{Reason: dispatch.ReasonDeadline, RetryAfter: minRetryAfter}
+		return &forward.RefusalError{Reason: forward.ReasonDeadline, RetryAfter: minRetryAfter}
 	}
-	return &dispatch.RefusalError{Reason: dispatch.ReasonCancelled}
+	return &forward.RefusalError{Reason: forward.ReasonCancelled}
 }
 
-// Region implements dispatch.Slot.
+// Region implements forward.Slot.
 func (t *ticket) Region() model.Region { return t.slot.Region() }
 
-// Release implements dispatch.Slot.
+// Release implements forward.Slot.
 func (t *ticket) Release() {
 	now := time.Now()
 	t.q.release(now, t, now)
 }
 
-// ReleaseAt implements dispatch.Slot.
+// ReleaseAt implements forward.Slot.
 func (t *ticket) ReleaseAt(at time.Time) {
 	t.q.release(time.Now(), t, at)
 }
 
-// Preemptible implements dispatch.Permit.
+// Preemptible implements forward.Permit.
 func (t *ticket) Preemptible(cancel func()) {
 	if t.class == bulk {
 		t.q.preemptible(t, cancel)
 	}
 }
 
-// Answered implements dispatch.Permit.
+// Answered implements forward.Permit.
 func (t *ticket) Answered(d time.Duration) {
 	t.q.answered(time.Now(), t.class, d)
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -155,17 +155,11 @@
 	if set == nil {
 		return nil
 	}
-	endpoints := make(map[model.Region]int)
-	for _, st := range e.d.balancer.States(now) {
-		if st.Endpoint.Service == s && !st.Ejected {
-			endpoints[st.Endpoint.Region]++
-		}
-	}
 	var out []control.RegionView
 	for r := range set.Regions {
 		key := capacity.Key{Region: r, Service: s}
 		out = append(out, control.RegionView{
-			Region: r, Endpoints: endpoints[r], Slots: e.d.capacity.Usable(now, key),
+			Region: r, Endpoints: e.d.table.Usable(s, r, now), Slots: e.d.capacity.Usable(now, key),
 			Free: e.d.capacity.Free(now, key, now.Add(explainHold)),
 		})
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -15,12 +16,13 @@
 	"github.com/juju/errors"
 
 	"jujubestile.example/jujubestile/internal/admission"
-	"jujubestile.example/jujubestile/internal/balance"
 	"jujubestile.example/jujubestile/internal/capacity"
 	"jujubestile.example/jujubestile/internal/configsync"
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/entry"
 	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/exchange"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/instancelist"
 	"jujubestile.example/jujubestile/internal/ledger"
 	"jujubestile.example/jujubestile/internal/lookup"
@@ -28,12 +30,12 @@
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/peer"
 	"jujubestile.example/jujubestile/internal/quarantine"
-	"jujubestile.example/jujubestile/internal/retry"
+	"jujubestile.example/jujubestile/internal/roster"
 	"jujubestile.example/jujubestile/internal/route"
 	"jujubestile.example/jujubestile/internal/settings"
 	"jujubestile.example/jujubestile/internal/shift"
+	"jujubestile.example/jujubestile/internal/steering"
 	"jujubestile.example/jujubestile/internal/telemetry"
-	"jujubestile.example/jujubestile/internal/transport"
 	"jujubestile.example/jujubestile/platform"
 )
 
@@ -70,13 +72,19 @@
 	router         *route.Router
 	admission      *admission.Control
 	quarantine     *quarantine.Quarantine
-	balancer       *balance.Balancer
-	ejections      *balance.EjectionNews
-	transport      *transport.Transport
-	dispatcher     *dispatch.Dispatcher
-	ledger         *ledger.Ledger
-	entry          *entry.Handler
-	lookups        *lookup.Service
+	table          *steering.Table
+	roster         *roster.Roster
+	client         *exchange.Client
+	budget         *forward.Budget
+	engine         *forward.Engine
+	// state holds the services of the rules in force.
+	state atomic.Pointer[desired.State]
+	// instances is the number of listed instances.
+	instances atomic.Int64
+	probes    expvar.Int
+	ledger    *ledger.Ledger
+	entry     *entry.Handler
+	lookups   *lookup.Service
 
 	servers []*http.Server
 	loops   sync.WaitGroup
@@ -91,8 +99,7 @@
 	// seenShape and seenSeq are those of the view that noteMembers saw last.
 	seenShape, seenSeq uint64
 	// dead holds the members that are logged as dead. Only housekeep uses it.
-	dead    map[model.InstanceID]bool
-	metrics metrics
+	dead map[model.InstanceID]bool
 }
 
 // New builds an instance. It opens no connection yet.
@@ -110,7 +117,8 @@
 	d.rpc = peer.NewServer(peer.ServerOptions{OnPanic: d.rpcPanic})
 	d.pool = peer.NewPool(func(id model.InstanceID) (netip.AddrPort, bool) { return d.members.Resolve(id) }, peer.PoolOptions{})
 	d.buildRules()
-	d.buildRouting(now)
+	d.buildEndpoints()
+	d.buildRouting()
 	d.buildMembers()
 	d.buildLedger()
 	d.buildRequests()
@@ -130,7 +138,7 @@
 	d.editor = &configsync.Editor{State: d.rules, Store: d.store, Fleet: fleet, IsRelay: isRelay, Now: time.Now, Report: d.rulesEvent}
 }
 
-func (d *Daemon) buildRouting(now time.Time) {
+func (d *Daemon) buildRouting() {
 	d.signals = route.NewSignals()
 	d.capacity, d.capacityDriver = capacity.NewDriver(
 		capacity.Config{
@@ -142,12 +150,10 @@
 	)
 	d.limiter = shift.New(newRand())
 	d.handover = shift.NewHandover(d.settings.Instance, d.settings.Region, time.Now)
-	d.balancer = balance.New(balance.Config{Instance: d.settings.Instance, ActiveProbes: true, Rand: newRand()})
-	d.ejections = balance.NewEjectionNews(newRand(), func(id model.EndpointID) { d.balancer.Suspect(time.Now(), id) })
 	d.router = route.New(route.Config{
 		Region: d.settings.Region, Incarnation: d.incarnation, Capacity: d.capacity,
 		Limiter: d.limiter, Handover: d.handover, Signals: d.signals,
-		HasEndpoints: func(s model.Service, r model.Region) bool { return d.balancer.UsableIn(s, r) > 0 },
+		HasEndpoints: func(s model.Service, r model.Region) bool { return d.table.Usable(s, r, time.Now()) > 0 },
 	})
 	d.admission = admission.New(d.router)
 	d.quarantine = quarantine.New(newRand())
@@ -165,7 +171,7 @@
 		},
 		Caller:       d.pool,
 		Source:       &timedSource{Source: d.source, began: &d.listing.began},
-		Topics:       []membership.Topic{d.rules, d.handover, d.quarantine, d.notices, d.ejections},
+		Topics:       []membership.Topic{d.rules, d.handover, d.quarantine, d.notices},
 		ListInterval: time.Duration(s.Platform.Poll),
 		Rand:         newRand(),
 		OnListing:    d.onListing,
@@ -181,10 +187,10 @@
 }
 
 func (d *Daemon) buildRequests() {
-	d.transport = transport.New(transport.Config{})
-	d.dispatcher = dispatch.New(dispatch.Config{
-		Region: d.settings.Region, Admission: d.admission, Balancer: d.balancer,
-		Transport: tracedTransport{d.transport, d.tracer}, Retry: retry.NewPolicy(newRand()), Quarantine: quarantineAdapter{d},
+	d.engine = forward.NewEngine(forward.EngineConfig{
+		Log: d.log, Table: d.table, Transport: tracedTransport{d.client, d.tracer}, Budget: d.budget, Rand: newRand(),
+		State: d.state.Load, Instances: d.instanceCount, Reroute: d.endpointDown,
+		Gate: d.admission, Quarantine: quarantineAdapter{d},
 	})
 	d.lookups = lookup.NewService(d.members.View)
 	d.entry = entry.New(entry.Config{
@@ -241,7 +247,7 @@
 	d.capacityDriver.Start(ctx)
 	d.loop(func() { d.applyRules(ctx) })
 	d.loop(func() { d.housekeep(ctx) })
-	d.loop(func() { dispatch.RunProbes(ctx, d.balancer, newProber()) })
+	d.loop(func() { d.prober().Run(ctx) })
 	return nil
 }
 
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -16,8 +16,6 @@
 	// tickEvery is how often the router looks at caps and links of waiting
 	// requests.
 	tickEvery = 50 * time.Millisecond
-	// ejectionsEvery is how often other instances are told of new ejections.
-	ejectionsEvery = 200 * time.Millisecond
 	// announceEvery is how often the own record is brought up to date.
 	announceEvery = 500 * time.Millisecond
 	// notReadyAfter is how long after the start a missing rules revision is
@@ -44,8 +42,9 @@
 	d.router.SetRules(now, set)
 	d.admission.SetMinimum(set.Minimum)
 	d.lookups.SetRules(set, lookup.Distances{d.settings.Region: d.settings.Distances})
-	d.balancer.SetDrained(now, set.DrainEndpoints, set.DrainDomains)
+	d.roster.SetDrained(now, set.DrainEndpoints, set.DrainDomains)
 	head := d.rules.Head()
+	d.setServices(set, head.Revision)
 	d.members.SetRulesRevision(head.Revision)
 	d.members.Notify(d.rules.Name())
 	d.log.Log(events.RulesInForce).Uint64("revision", head.Revision).Str("author", head.Author).Str("edit", head.EditID).Send()
@@ -71,7 +70,7 @@
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	started := time.Now()
-	var announced, told time.Time
+	var announced time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,10 +81,6 @@
 		d.router.Tick(now)
 		d.settleShifts()
 		d.noteReady(now, started)
-		if now.Sub(told) >= ejectionsEvery {
-			told = now
-			d.tellEjections()
-		}
 		if now.Sub(announced) >= announceEvery {
 			announced = now
 			d.noteMembers(now)
@@ -108,13 +103,6 @@
 	}
 }
 
-// tellEjections tells the other instances which endpoints this one has ejected.
-func (d *Daemon) tellEjections() {
-	if d.ejections.Report(d.balancer.Ejected()) {
-		d.members.Notify(d.ejections.Name())
-	}
-}
-
 // settleShifts tells the router that it knows where shifts stand: a peer has
 // answered, or the rules came from the store and no peer lives.
 func (d *Daemon) settleShifts() {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -58,8 +58,8 @@
 	}
 	now := time.Now()
 	d.reportLeaving(now, l.Endpoints)
-	d.balancer.SetEndpoints(now, l.Endpoints)
-	d.balancer.SetInstances(now, len(l.Entries))
+	d.roster.SetEndpoints(now, l.Endpoints)
+	d.setInstances(len(l.Entries))
 }
 
 // reportLeaving tells the other instances which endpoints have changed between
@@ -84,7 +84,7 @@
 // reading of the list shows it.
 func (d *Daemon) onNotice(n membership.Notice) {
 	if n.Leaving {
-		d.balancer.Leave(time.Now(), n.Endpoint)
+		d.roster.Leave(time.Now(), n.Endpoint)
 		d.log.Log(events.EndpointLeaving).Str("endpoint", string(n.Endpoint)).Send()
 	}
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -2,28 +2,12 @@
 
 import (
 	"expvar"
-	"fmt"
-
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"time"
 )
 
-// metrics are the counters of one instance, in the form of expvar. They are
-// not published under a global name, because several instances may run in one
-// process.
-type metrics struct {
-	// outcomes counts requests by priority, outcome and reason.
-	outcomes expvar.Map
-	// attempts counts attempts at endpoints by service.
-	attempts expvar.Map
-}
-
-func (d *Daemon) count(r *dispatch.Request, res dispatch.Result) {
-	d.metrics.outcomes.Add(fmt.Sprintf("priority=%s outcome=%s reason=%s", r.Priority, res.Outcome, res.Reason), 1)
-	d.metrics.attempts.Add(string(r.Service), int64(res.Attempts))
-}
-
 // PublishVars shows the counters at /debug/vars of the control address. It may
-// be called once in a process.
+// be called once in a process: several instances may run in one process, which
+// then publish none.
 func (d *Daemon) PublishVars() {
 	for name, v := range d.vars() {
 		expvar.Publish(name, v)
@@ -32,8 +16,11 @@
 
 func (d *Daemon) vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"requests":    &d.metrics.outcomes,
-		"attempts":    &d.metrics.attempts,
+		"requests":    &d.engine.Metrics().Requests,
+		"latency_ms":  expvar.Func(func() any { return d.engine.Metrics().Latencies() }),
+		"endpoints":   expvar.Func(func() any { return d.table.Counts(time.Now()) }),
+		"connections": expvar.Func(func() any { return d.client.Stats() }),
+		"probes":      &d.probes,
 		"peer_calls":  expvar.Func(func() any { return d.pool.Stats() }),
 		"peer_server": expvar.Func(func() any { return d.rpc.Stats() }),
 		"membership":  expvar.Func(func() any { return d.members.Stats() }),
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -2,69 +2,92 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/entry"
 	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/exchange"
+	"jujubestile.example/jujubestile/internal/forward"
+	"jujubestile.example/jujubestile/internal/ledger"
 	"jujubestile.example/jujubestile/internal/model"
-	"jujubestile.example/jujubestile/internal/quarantine"
 	"jujubestile.example/jujubestile/internal/telemetry"
+	"jujubestile.example/jujubestile/internal/wire"
 )
 
-// singleAttempt is the claim of work that may not be repeated and has no key.
-// The dispatcher sends such work at most once; nobody can ask for its outcome
-// later, so that no record is kept.
-type singleAttempt struct{}
-
-// Intent implements dispatch.Claim.
-func (singleAttempt) Intent(context.Context) error { return nil }
+const (
+	// maxAttempts bounds the attempts of one request whatever the budget says.
+	maxAttempts = 4
+	// firstTarget is the latency target from which the work of a service is
+	// guessed before its first answer. Low, so that no request is refused for
+	// the guess.
+	firstTarget = 60 * time.Millisecond
+)
 
 // dispatcher implements entry.Dispatcher.
 type dispatcher struct{ d *Daemon }
 
 // Do implements entry.Dispatcher.
-func (a dispatcher) Do(ctx context.Context, r *dispatch.Request, c dispatch.Claim) entry.Result {
-	if c == nil && !r.Repeatable {
-		c = singleAttempt{}
+func (a dispatcher) Do(ctx context.Context, r *entry.Request, c entry.Claim) entry.Result {
+	req := &forward.Request{
+		ID: requestID(ctx, r), Route: routeOf(r), Version: desired.Version(a.d.Revision()),
+		Arrived: r.Arrived, Wait: r.Deadline.Sub(r.Arrived), Until: r.Deadline, OnTime: r.Deadline,
+		Method: r.Method, Target: r.Path, Host: string(r.Service), Header: r.Header, Body: r.Body,
+		Repeats: r.Attempt,
+	}
+	if c != nil && !r.Repeatable {
+		req.Intent = c.Intent
+	}
+	answer := a.d.engine.Do(ctx, req)
+	a.d.engine.Record(req, answer, time.Since(r.Arrived))
+	return resultOf(answer)
+}
+
+// requestID names a request in logs: its key, the trace that its caller has
+// begun, or a random name.
+func requestID(ctx context.Context, r *entry.Request) string {
+	if r.Key != "" {
+		return r.Key
 	}
-	res := a.d.dispatcher.Do(ctx, r, c)
-	a.d.count(r, res)
-	out := entry.Result{
-		Outcome: res.Outcome, Response: res.Response, Status: statusOf(res.Reason),
-		Detail: string(res.Reason), RetryAfter: res.RetryAfter,
+	if span := trace.SpanContextFromContext(ctx); span.HasTraceID() {
+		return span.TraceID().String()
 	}
-	if res.Outcome != model.OutcomeAnswered {
-		out.Event = a.d.logFailure(r, res)
+	return rand.Text()
+}
+
+// routeOf is the route of a request by its class.
+func routeOf(r *entry.Request) *desired.Route {
+	return &desired.Route{
+		Name: string(r.Service), Repeatable: r.Repeatable, Target: firstTarget, Rank: int(r.Priority) - 1,
+		MaxAttempts: maxAttempts, Parts: []desired.Part{{Service: r.Service, Weight: 1}},
+	}
+}
+
+func resultOf(a forward.Answer) entry.Result {
+	out := entry.Result{Outcome: a.Outcome, Status: statusOf(a), Detail: a.Reason, RetryAfter: a.RetryAfter, Event: a.Event().Number}
+	if a.Response != nil {
+		out.Response = &ledger.Response{Status: a.Response.Status, Header: wire.Response(a.Response.Header), Body: a.Response.Body}
 	}
 	return out
 }
 
 // statusOf returns the HTTP status of a request without an answer, or 0 for
 // the default of its outcome.
-func statusOf(r dispatch.Reason) int {
-	switch r {
-	case dispatch.ReasonQuarantined:
-		return http.StatusUnprocessableEntity
-	case dispatch.ReasonDeadline:
+func statusOf(a forward.Answer) int {
+	switch a.Reason {
+	case string(forward.ReasonDeadline):
 		return http.StatusGatewayTimeout
+	case forward.ReasonQuarantined:
+		return http.StatusUnprocessableEntity
 	}
 	return 0
 }
 
-// logFailure logs a request without an answer and returns the event's number.
-func (d *Daemon) logFailure(r *dispatch.Request, res dispatch.Result) int {
-	e := events.RequestNotAnswered
-	if res.Outcome == model.OutcomeUnknown {
-		e = events.RequestUnknown
-	}
-	d.log.Log(e).Str("service", string(r.Service)).Stringer("priority", r.Priority).Str("outcome", string(res.Outcome)).
-		Str("reason", string(res.Reason)).Int("attempts", res.Attempts).Str("endpoint", string(res.Endpoint)).Send()
-	return e.Number
-}
-
 // traced makes a span for the hop through this instance.
 func traced(t *telemetry.Tracer, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -76,58 +99,47 @@
 
 // tracedTransport makes a span for the hop to an endpoint.
 type tracedTransport struct {
-	next   dispatch.Transport
+	next   forward.Transport
 	tracer *telemetry.Tracer
 }
 
-// Send implements dispatch.Transport.
-func (t tracedTransport) Send(ctx context.Context, to model.Endpoint, r *dispatch.Request) (*dispatch.Response, error) {
+// Do implements forward.Transport.
+func (t tracedTransport) Do(ctx context.Context, to exchange.Target, call *exchange.Call) exchange.Result {
 	ctx, span := t.tracer.Start(ctx, "endpoint", attribute.String("endpoint", string(to.ID)))
 	if span.Recording() {
-		traced := *r
-		traced.Header = r.Header.Clone()
+		traced := *call
+		traced.Header = call.Header.Clone()
 		telemetry.Inject(ctx, traced.Header)
-		r = &traced
+		call = &traced
 	}
-	resp, err := t.next.Send(ctx, to, r)
-	span.End("", err)
-	return resp, err
+	res := t.next.Do(ctx, to, call)
+	span.End(res.Outcome.String(), res.Err)
+	return res
 }
 
-// quarantineAdapter implements dispatch.Quarantine.
+// quarantineAdapter implements forward.Quarantine.
 type quarantineAdapter struct{ d *Daemon }
 
-var verdicts = map[quarantine.Verdict]dispatch.Verdict{
-	quarantine.Allow:   dispatch.VerdictAllow,
-	quarantine.Isolate: dispatch.VerdictIsolate,
-	quarantine.Refuse:  dispatch.VerdictRefuse,
-}
-
-// Check implements dispatch.Quarantine. A request that is about to be refused is
-// held back until the other instances' reports of the last crash have arrived;
-// its caller may send it again.
-func (a quarantineAdapter) Check(fp uint64) dispatch.Verdict {
-	v := a.d.quarantine.Check(fp)
-	if v == quarantine.Isolate && !a.d.quarantine.MayStart(fp, "") {
-		v = quarantine.Refuse
-	}
-	if v == quarantine.Refuse {
+// Check implements forward.Quarantine.
+func (a quarantineAdapter) Check(fp uint64) forward.Verdict {
+	v := a.d.quarantine.Decide(fp)
+	if v == forward.VerdictRefuse {
 		a.d.log.Log(events.Quarantined).Uint64("fingerprint", fp).Send()
 	}
-	return verdicts[v]
+	return v
 }
 
-// Started implements dispatch.Quarantine.
+// Started implements forward.Quarantine.
 func (a quarantineAdapter) Started(fp uint64, e model.EndpointID) {
 	a.d.quarantine.Started(fp, e)
 }
 
-// Cancelled implements dispatch.Quarantine.
+// Cancelled implements forward.Quarantine.
 func (a quarantineAdapter) Cancelled(fp uint64, e model.EndpointID) {
 	a.d.quarantine.Cancelled(fp, e)
 }
 
-// Finished implements dispatch.Quarantine. A crash is told to the other
+// Finished implements forward.Quarantine. A crash is told to the other
 // instances at once.
 func (a quarantineAdapter) Finished(fp uint64, e model.EndpointID, crashed bool) {
 	a.d.quarantine.Finished(fp, e, crashed)
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -47,7 +47,7 @@
 func (d *Daemon) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
-	d.dispatcher.Wait()
+	d.engine.Wait(ctx)
 	_ = d.ledger.Flush(ctx)
 	id, inc, ok := d.nearest(nil, true)
 	if !ok {
@@ -76,7 +76,7 @@
 	}
 	d.rpc.Close()
 	d.pool.Close()
-	d.transport.Close()
+	d.client.Sweep()
 	d.store.Close()
 	d.source.Close()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,7 +14,6 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/semaphore"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/ledger"
 	"jujubestile.example/jujubestile/internal/model"
@@ -24,7 +23,7 @@
 type Result struct {
 	Outcome model.Outcome
 	// Response is set if the outcome is answered.
-	Response *dispatch.Response
+	Response *ledger.Response
 	// Status, Detail and Event describe any other outcome. Status defaults to
 	// 503 for not-run and 504 for unknown.
 	Status     int
@@ -33,18 +32,41 @@
 	RetryAfter time.Duration
 }
 
-// Dispatcher takes a request to its outcome within the context's deadline. The
-// claim is nil without a key and for GET, HEAD and OPTIONS. With a claim its
-// Intent precedes the first attempt. Work that is not repeatable and has no
-// claim is sent at most once.
+// Request is one request of a caller on its way to an endpoint.
+type Request struct {
+	Service  model.Service
+	Priority model.Priority
+	// Repeatable means that running the request twice does no harm.
+	Repeatable bool
+	// Key is the caller's Idempotency-Key, or empty.
+	Key string
+	// Attempt is the caller's own count of repetitions, 0 for the first try.
+	Attempt int
+	// Arrived is when the request came, Deadline when its answer is of no use
+	// any more.
+	Arrived, Deadline time.Time
+	// Method, Path (with the query), Header and Body are what the endpoint
+	// gets.
+	Method string
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// Dispatcher takes a request to its outcome until its deadline. The context ends
+// if the caller leaves and the work may end with it. The claim is nil without a
+// key and for GET, HEAD and OPTIONS. With a claim its Intent precedes the first
+// attempt. Work that is not repeatable and has no claim is sent at most once.
 type Dispatcher interface {
-	Do(ctx context.Context, r *dispatch.Request, c dispatch.Claim) Result
+	Do(ctx context.Context, r *Request, c Claim) Result
 }
 
 // Claim is the right to run a key. Finish returns the outcome to report.
 type Claim interface {
-	dispatch.Claim
-	Finish(o model.Outcome, r *dispatch.Response) model.Outcome
+	// Intent records that the request is about to be sent. The request is
+	// sent only if Intent returns nil.
+	Intent(ctx context.Context) error
+	Finish(o model.Outcome, r *ledger.Response) model.Outcome
 }
 
 // Ledger decides which requests may run under their keys.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,16 +17,15 @@
 	"testing"
 	"time"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/ledger"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
 )
 
-type doFunc func(ctx context.Context, r *dispatch.Request, c dispatch.Claim) Result
+type doFunc func(ctx context.Context, r *Request, c Claim) Result
 
-func (f doFunc) Do(ctx context.Context, r *dispatch.Request, c dispatch.Claim) Result {
+func (f doFunc) Do(ctx context.Context, r *Request, c Claim) Result {
 	return f(ctx, r, c)
 }
 
@@ -56,8 +55,8 @@
 	return New(Config{Dispatcher: do, Ledger: FromLedger(l), Classifier: ByRules(testRules), Directory: alone{}, BodyTimeout: 100 * time.Millisecond, Log: events.Nop()}), l
 }
 
-func ok(_ context.Context, r *dispatch.Request, _ dispatch.Claim) Result {
-	return Result{Outcome: model.OutcomeAnswered, Response: &dispatch.Response{Status: 201, Body: []byte(r.Method + " " + r.Path), Header: http.Header{"X-A": {"1"}}}}
+func ok(_ context.Context, r *Request, _ Claim) Result {
+	return Result{Outcome: model.OutcomeAnswered, Response: &ledger.Response{Status: 201, Body: []byte(r.Method + " " + r.Path), Header: http.Header{"X-A": {"1"}}}}
 }
 
 func do(h http.Handler, method, path, body string, header ...string) *httptest.ResponseRecorder {
@@ -145,7 +144,7 @@
 // another request's response for it.
 func TestKeyedRequests(t *testing.T) {
 	runs := 0
-	h, l := newTestHandler(func(ctx context.Context, r *dispatch.Request, c dispatch.Claim) Result {
+	h, l := newTestHandler(func(ctx context.Context, r *Request, c Claim) Result {
 		runs++
 		if err := c.Intent(ctx); err != nil {
 			return Result{Outcome: model.OutcomeNotRun}
@@ -191,7 +190,7 @@
 // refusing work before callers could learn of it.
 func TestDrain(t *testing.T) {
 	release := make(chan struct{})
-	h, l := newTestHandler(func(ctx context.Context, r *dispatch.Request, c dispatch.Claim) Result {
+	h, l := newTestHandler(func(ctx context.Context, r *Request, c Claim) Result {
 		if r.Path == "/slow" {
 			<-release
 		}
@@ -233,13 +232,13 @@
 // slow senders.
 func TestOverConnections(t *testing.T) {
 	ended := make(chan error, 1)
-	h, l := newTestHandler(func(ctx context.Context, r *dispatch.Request, c dispatch.Claim) Result {
+	h, l := newTestHandler(func(ctx context.Context, r *Request, c Claim) Result {
 		switch r.Path {
 		case "/wait":
 			time.Sleep(30 * time.Millisecond)
 			ended <- ctx.Err()
 		case "/lie":
-			return Result{Outcome: model.OutcomeAnswered, Response: &dispatch.Response{Status: 204, Body: []byte("not allowed")}}
+			return Result{Outcome: model.OutcomeAnswered, Response: &ledger.Response{Status: 204, Body: []byte("not allowed")}}
 		}
 		return ok(ctx, r, c)
 	})
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -14,18 +14,18 @@
 	"time"
 
 	"jujubestile.example/jujubestile/client"
-	"jujubestile.example/jujubestile/internal/dispatch"
 	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/exchange"
 	"jujubestile.example/jujubestile/internal/ledger"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/peer"
-	"jujubestile.example/jujubestile/internal/transport"
+	"jujubestile.example/jujubestile/internal/wire"
 )
 
 // testFleet is three entry instances with ledgers, and one endpoint.
 type testFleet struct {
-	tr       *transport.Transport
-	endpoint model.Endpoint
+	client   *exchange.Client
+	endpoint exchange.Target
 	runs     atomic.Int64
 	// killAt is the phase in which instance a dies.
 	killAt string
@@ -37,16 +37,16 @@
 }
 
 func newTestFleet(t *testing.T, killAt string) *testFleet {
-	f := &testFleet{tr: transport.New(transport.Config{}), killAt: killAt, ledgers: map[model.InstanceID]*ledger.Ledger{},
+	f := &testFleet{client: exchange.New(exchange.Default(), wire.Endpoint{}), killAt: killAt, ledgers: map[model.InstanceID]*ledger.Ledger{},
 		servers: map[model.InstanceID]*httptest.Server{}, peers: map[model.InstanceID]*rpc.Client{}}
-	t.Cleanup(f.tr.Close)
+	t.Cleanup(f.client.Sweep)
 	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.runs.Add(1)
 		w.Header().Set("Retry-Count", "0")
 		w.Write([]byte("booked"))
 	}))
 	t.Cleanup(endpoint.Close)
-	f.endpoint = model.Endpoint{ID: "e", Addr: netip.MustParseAddrPort(endpoint.Listener.Addr().String())}
+	f.endpoint = exchange.Target{ID: "e", Addr: netip.MustParseAddrPort(endpoint.Listener.Addr().String())}
 	for _, id := range []model.InstanceID{"a", "b", "c"} {
 		f.start(t, id)
 	}
@@ -55,7 +55,7 @@
 
 func (f *testFleet) start(t *testing.T, id model.InstanceID) {
 	l := ledger.New(ledger.Config{Self: id, Inc: 1, Peers: f, Members: member{f, id}})
-	h := New(Config{Dispatcher: doFunc(func(ctx context.Context, r *dispatch.Request, c dispatch.Claim) Result {
+	h := New(Config{Dispatcher: doFunc(func(ctx context.Context, r *Request, c Claim) Result {
 		return f.do(ctx, id, r, c)
 	}), Ledger: FromLedger(l), Classifier: ByRules(testRules), Directory: member{f, id}, Log: events.Nop()})
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -98,7 +98,9 @@
 	return nil
 }
 
-func (f *testFleet) do(ctx context.Context, id model.InstanceID, r *dispatch.Request, c dispatch.Claim) Result {
+func (f *testFleet) do(ctx context.Context, id model.InstanceID, r *Request, c Claim) Result {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
 	if id == "a" && f.killAt == "queued" {
 		f.kill()
 		<-ctx.Done()
@@ -107,15 +109,16 @@
 	if err := c.Intent(ctx); err != nil {
 		return Result{Outcome: model.OutcomeNotRun}
 	}
-	resp, err := f.tr.Send(ctx, f.endpoint, r)
+	resp := f.client.Do(ctx, f.endpoint, &exchange.Call{Method: r.Method, Target: r.Path, Host: "e", Header: r.Header, Body: r.Body,
+		ID: "1", Deadline: r.Deadline, Fresh: true})
 	if id == "a" && f.killAt == "running" {
 		f.kill()
 		<-ctx.Done()
 	}
-	if err != nil {
+	if resp.Outcome != exchange.Answered {
 		return Result{Outcome: model.OutcomeUnknown}
 	}
-	return Result{Outcome: model.OutcomeAnswered, Response: resp}
+	return Result{Outcome: model.OutcomeAnswered, Response: &ledger.Response{Status: resp.Status, Header: wire.Response(resp.Header), Body: resp.Body}}
 }
 
 type member struct {
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"strings"
 	"testing"
-
-	"jujubestile.example/jujubestile/internal/dispatch"
 )
 
 // Guards against settings of the size and number of requests, and against a
@@ -28,7 +26,7 @@
 // Guards against an instance that takes in more requests than it is set to.
 func TestMaxInFlight(t *testing.T) {
 	release, running := make(chan struct{}), make(chan struct{})
-	h, _ := newTestHandler(func(ctx context.Context, r *dispatch.Request, c dispatch.Claim) Result {
+	h, _ := newTestHandler(func(ctx context.Context, r *Request, c Claim) Result {
 		close(running)
 		<-release
 		return ok(ctx, r, c)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -9,10 +9,8 @@
 
 	"github.com/juju/errors"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
 	"jujubestile.example/jujubestile/internal/ledger"
 	"jujubestile.example/jujubestile/internal/model"
-	"jujubestile.example/jujubestile/internal/transport"
 )
 
 // service serves METHOD /v1/services/SERVICE/PATH.
@@ -42,8 +40,7 @@
 		// for a caller that asks again.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, arrived.Add(timeout))
-	defer cancel()
+	req.Arrived, req.Deadline = arrived, arrived.Add(timeout)
 	if req.Key == "" || repeatableMethod(req.Method) {
 		h.relay(w, r, h.cfg.Dispatcher.Do(ctx, req, nil))
 		return
@@ -53,9 +50,11 @@
 
 // keyed runs a request under its key. Work that a rule declares repeatable is
 // recorded as well, so that GET /v1/outcomes does not report it as not run.
-func (h *Handler) keyed(ctx context.Context, w http.ResponseWriter, r *http.Request, req *dispatch.Request) {
+func (h *Handler) keyed(ctx context.Context, w http.ResponseWriter, r *http.Request, req *Request) {
 	fp := model.Fingerprint(req.Service, req.Method, req.Path, req.Body)
-	claim, recorded, err := h.cfg.Ledger.Begin(ctx, req.Key, fp)
+	limited, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	claim, recorded, err := h.cfg.Ledger.Begin(limited, req.Key, fp)
 	switch {
 	case err != nil:
 		h.writeProblem(w, h.refusal(r, err))
@@ -89,7 +88,7 @@
 
 // read checks a request and reads its body. On success the caller releases the
 // body's share of h.buffered.
-func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*dispatch.Request, time.Duration, *Problem) {
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*Request, time.Duration, *Problem) {
 	if headerBytes(r.Header) > maxHeaderBytes {
 		return nil, 0, newProblem(http.StatusRequestHeaderFieldsTooLarge, "header-size", "Header over 16 KB", "")
 	}
@@ -116,7 +115,7 @@
 	if problem != nil {
 		return nil, 0, problem
 	}
-	req := &dispatch.Request{
+	req := &Request{
 		Attempt: repetitions(r.Header),
 		Service: service, Priority: priorityOf(r.Header, class.Priority), Repeatable: class.Repeatable,
 		Key: key, Method: r.Method, Path: withQuery, Header: r.Header, Body: body,
@@ -201,12 +200,12 @@
 	case res.BodyGone:
 		h.writeProblem(w, goneProblem(res))
 	default:
-		h.respond(w, r, &dispatch.Response{Status: res.Status, Header: res.Header, Body: res.Body})
+		h.respond(w, r, &ledger.Response{Status: res.Status, Header: res.Header, Body: res.Body})
 	}
 }
 
 // respond relays an endpoint's whole response, or aborts the connection.
-func (h *Handler) respond(w http.ResponseWriter, r *http.Request, resp *dispatch.Response) {
+func (h *Handler) respond(w http.ResponseWriter, r *http.Request, resp *ledger.Response) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	header := w.Header()
 	for name, values := range resp.Header {
@@ -214,7 +213,6 @@
 			header[name] = values
 		}
 	}
-	header.Del(transport.LoadHeader)
 	header.Set(OutcomeHeader, string(model.OutcomeAnswered))
 	if r.Method != http.MethodHead && resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified {
 		header.Set("Content-Length", strconv.Itoa(len(resp.Body)))
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -50,12 +50,6 @@
 
 // Events of requests.
 var (
-	RequestNotAnswered = Event{301, "request not run", zerolog.DebugLevel,
-		"A request was refused and no endpoint ran it. The field reason says why: queue-full and deadline mean overload, shift-capped a cap on a traffic shift, no-endpoint that no endpoint is left, no-intent that the witness of its key did not answer.",
-		"Look at the rate by reason in /debug/vars. queue-full or deadline: add capacity or lower the load. shift-capped: raise the cap if the move is wanted. no-endpoint: check the endpoints of the service."}
-	RequestUnknown = Event{302, "request outcome unknown", zerolog.WarnLevel,
-		"A request was sent to an endpoint and no whole answer came back, so it may have run.",
-		"Single ones follow the loss of an endpoint. Many for one endpoint: drain it. The user can look the request up by its key."}
 	HandlerPanic = Event{303, "handler panicked", zerolog.ErrorLevel,
 		"A request met a fault in the program. Its connection was closed; other requests go on.",
 		"Report the line with its stack."}
--- a/internal/events/catalogue_serve.go
+++ b/internal/events/catalogue_serve.go
@@ -2,7 +2,8 @@
 
 import "github.com/rs/zerolog"
 
-// Events of the entry role on the users' platform (jujubestiled serve).
+// Events of requests and endpoints, and of the entry role on the users' platform
+// (jujubestiled serve).
 var (
 	SettingsRead = Event{801, "settings read", zerolog.InfoLevel,
 		"The settings file was read, at the start or after SIGHUP. The field fields counts the settings, ignored those that are unknown.",
@@ -49,6 +50,12 @@
 	EndpointHealth = Event{833, "endpoint health changed", zerolog.InfoLevel,
 		"This instance considers an endpoint down, or up again after a probe.",
 		"If one endpoint is down for many instances: look at the endpoint."}
+	EndpointCrashed = Event{835, "endpoint crashed", zerolog.WarnLevel,
+		"Connections of an endpoint broke and it accepts no new ones or has started again. The field requests counts the requests of this instance that were there.",
+		"None for single ones: the platform starts it again. If it repeats, look for the event of a quarantined request."}
+	CrashesNotTold = Event{836, "crash not told", zerolog.DebugLevel,
+		"Another instance could not be told of a crash. It learns of it with the next one.",
+		"None."}
 	DomainEvacuated = Event{834, "failure domain evacuation changed", zerolog.InfoLevel,
 		"An operator empties a failure domain, or takes it back, by the field evacuated.",
 		"None."}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -22,6 +22,8 @@
 	protocol EndpointProtocol
 	// served is the number of exchanges that have begun on it.
 	served int
+	// roundTrip is how long the connection took to open.
+	roundTrip time.Duration
 	// idleUntil is when the connection is given up if nothing uses it.
 	idleUntil time.Time
 	lastUse   time.Time
@@ -184,6 +186,9 @@
 	if resp.StatusCode > maxStatus {
 		return nil, errors.Errorf("status %d", resp.StatusCode)
 	}
+	if c.pool.client.cfg.Framed && unframed(resp, w.req.Method) {
+		return nil, errNoEnd
+	}
 	body, err := readBody(resp)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -202,6 +207,12 @@
 	return res, nil
 }
 
+// unframed reports whether a response's body ends with its connection.
+func unframed(resp *http.Response, method string) bool {
+	bodyless := method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	return !bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 func readBody(resp *http.Response) ([]byte, error) {
 	if resp.ContentLength > maxResponseBytes {
 		return nil, errTooLarge
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -9,8 +9,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -71,10 +73,30 @@
 	Reused bool
 	// Dial is the time that a new connection took, or 0.
 	Dial time.Duration
+	// RoundTrip is the time in which the connection was opened.
+	RoundTrip time.Duration
+}
+
+// Broken reports whether the endpoint ended the connection before its response
+// was complete, as it does when it crashes. took is the time of the exchange: the
+// end of an idle connection that crosses its next use takes less than a round
+// trip, and is none.
+func (r Result) Broken(took time.Duration) bool {
+	if r.Outcome != Unknown || r.Reused && took < r.RoundTrip {
+		return false
+	}
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(r.Err, end) {
+			return true
+		}
+	}
+	return false
 }
 
 // RequestFields are set on each request.
 type RequestFields struct {
+	// ID identifies the request in its response.
+	ID string
 	// Left is the time until the deadline.
 	Left time.Duration
 	// Expected is the endpoint that is to run the request.
@@ -119,6 +141,9 @@
 	// FreshAge is how long ago a connection must have been used for a request
 	// that may not be repeated.
 	FreshAge time.Duration
+	// Framed refuses bodies that end with their connection: whether they are
+	// whole cannot be told.
+	Framed bool
 }
 
 // Default returns the bounds in use.
@@ -140,6 +165,7 @@
 	errSwitching = errors.ConstError("endpoint switched protocols")
 	errTooLarge  = errors.ConstError("response over the limit")
 	errClosing   = errors.ConstError("endpoint closes the connection")
+	errNoEnd     = errors.ConstError("response without a length, which may be cut off")
 )
 
 const (
@@ -166,6 +192,6 @@
 	}
 	reused := conn.served > 0
 	res := conn.exchange(ctx, call, c.request(to, call))
-	res.Reused, res.Dial = reused, dial
+	res.Reused, res.Dial, res.RoundTrip = reused, dial, conn.roundTrip
 	return res
 }
--- a/internal/exchange/header.go
+++ b/internal/exchange/header.go
@@ -2,10 +2,31 @@
 
 import (
 	"net/http"
-
-	"jujubestile.example/jujubestile/internal/transport"
+	"net/textproto"
+	"strings"
 )
 
+// hopByHop lists the fields of RFC 9110 section 7.6.1 that a Connection field
+// need not name, and those of proxy authentication (section 11.7).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Proxy-Authenticate", "Proxy-Authorization",
+}
+
 // EndToEnd returns a copy of h without the fields that concern only one
 // connection.
-func EndToEnd(h http.Header) http.Header { return transport.EndToEnd(h) }
+func EndToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -36,8 +36,8 @@
 
 // handling is the state of a request while attempts are made.
 type handling struct {
-	*Handler
-	req     *request
+	*Engine
+	req     *Request
 	service model.Service
 	results chan attempt
 	// cancels end the attempts under way.
@@ -52,29 +52,58 @@
 	// run.
 	mayHaveRun bool
 	last       *steering.Pick
+	// paid is set while a token of the budget is taken for an attempt that has
+	// not begun.
+	paid bool
+	// intended is set once the request's Intent has returned nil.
+	intended bool
+	// fingerprint and verdict are those of the quarantine.
+	fingerprint uint64
+	verdict     Verdict
 }
 
-// handle sends the request to endpoints until there is an answer.
-func (h *Handler) handle(ctx context.Context, req *request) answer {
-	hd := &handling{Handler: h, req: req, service: h.split.choose(req.route),
-		results: make(chan attempt, maxUnsent+req.route.MaxAttempts+1),
+// Do sends the request to endpoints until there is an answer, at most until the
+// request's time is over. The context's end means that the caller has left.
+func (e *Engine) Do(ctx context.Context, req *Request) Answer {
+	hd := &handling{Engine: e, req: req, service: e.split.choose(req.Route),
+		results: make(chan attempt, maxUnsent+req.Route.MaxAttempts+1),
 		cancels: map[*steering.Pick]context.CancelCauseFunc{}}
-	now := time.Now()
-	h.cfg.Budget.Deposit(hd.service, now)
+	if refusal := hd.checkQuarantine(); refusal != nil {
+		return *refusal
+	}
+	if refusal := hd.countIn(); refusal != nil {
+		return *refusal
+	}
 	a := hd.run(ctx)
 	hd.release()
-	a.tries, a.last = hd.sent+hd.unsent, hd.last
+	a.Tries, a.Last = hd.sent+hd.unsent, hd.last
 	return a
 }
 
+// repeatReturn is the Retry-After of a repetition beyond the budget.
+const repeatReturn = time.Second
+
+// countIn counts the request in the retry budget.
+func (hd *handling) countIn() *Answer {
+	now := time.Now()
+	if hd.req.Repeats == 0 {
+		hd.cfg.Budget.Deposit(hd.service, now)
+		return nil
+	}
+	if !hd.cfg.Budget.Repeated(hd.service, now) {
+		return refused("retry-budget", repeatReturn)
+	}
+	return nil
+}
+
 // run is the loop of a request.
-func (hd *handling) run(ctx context.Context) answer {
+func (hd *handling) run(ctx context.Context) Answer {
 	if refusal := hd.start(ctx); refusal != nil {
 		if refusal = hd.wait(ctx, refusal); refusal != nil {
 			return *refusal
 		}
 	}
-	end := time.NewTimer(time.Until(hd.req.until) + answerGrace)
+	end := time.NewTimer(time.Until(hd.req.Until) + answerGrace)
 	defer end.Stop()
 	hedge := time.NewTimer(hd.hedgeAfter())
 	defer hedge.Stop()
@@ -85,36 +114,44 @@
 			if done := hd.ended(ctx, a); done != nil {
 				return *done
 			}
+			if hd.cfg.Gate != nil {
+				hedge.Reset(hd.hedgeAfter())
+			}
 		case <-hedge.C:
-			hd.hedge(ctx)
+			if !hd.hedge(ctx) {
+				hd.giveUp()
+			}
 		case <-end.C:
 			return *hd.timedOut()
 		case <-ctx.Done():
-			return answer{gone: true, reason: "caller-left", outcome: hd.outcome()}
+			return *callerLeft(hd.outcome())
 		}
 	}
 }
 
 // wait keeps a refused request in line for a free slot, if that has hope. It
 // returns nil once an attempt has begun.
-func (hd *handling) wait(ctx context.Context, refusal *answer) *answer {
-	if refusal.reason != string(steering.ReasonOverload) && refusal.reason != string(steering.ReasonShift) {
+func (hd *handling) wait(ctx context.Context, refusal *Answer) *Answer {
+	if refusal.Reason != string(steering.ReasonOverload) && refusal.Reason != string(steering.ReasonShift) {
 		return refusal
 	}
-	place := hd.lines.join(hd.service, hd.req.route.Rank)
+	if hd.cfg.Gate != nil {
+		return refusal // It has waited at the gate.
+	}
+	place := hd.lines.join(hd.service, hd.req.Route.Rank)
 	if place == nil {
 		return refusal
 	}
 	served := false
 	defer func() { hd.lines.leave(hd.service, place, served) }()
-	enough := time.NewTimer(time.Duration(holdShare * float64(time.Until(hd.req.until))))
+	enough := time.NewTimer(time.Duration(holdShare * float64(time.Until(hd.req.Until))))
 	defer enough.Stop()
 	retry := time.NewTicker(lineRetry)
 	defer retry.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return &answer{gone: true, reason: "caller-left", outcome: model.OutcomeNotRun}
+			return callerLeft(model.OutcomeNotRun)
 		case <-enough.C:
 			return refusal
 		case <-place.moved:
@@ -127,7 +164,7 @@
 			served = true
 			return nil
 		}
-		if refusal.reason == string(steering.ReasonDeadline) {
+		if refusal.Reason == string(steering.ReasonDeadline) {
 			return refusal
 		}
 	}
@@ -141,40 +178,96 @@
 	return model.OutcomeNotRun
 }
 
-// start chooses an endpoint and begins an attempt, or returns the refusal.
-func (hd *handling) start(ctx context.Context) *answer {
+// start begins an attempt, or returns the refusal.
+func (hd *handling) start(ctx context.Context) *Answer {
+	if hd.cfg.Gate == nil {
+		return hd.startAt(ctx, nil)
+	}
+	return hd.startThroughGate(ctx)
+}
+
+// startAt chooses an endpoint, in the region of the permit if there is one, and
+// begins an attempt there. It returns the refusal if there is none.
+func (hd *handling) startAt(ctx context.Context, permit Permit) *Answer {
 	now := time.Now()
 	choice := hd.cfg.Table.Choose(now, steering.Request{
-		Service: hd.service, Object: hd.req.object, Rank: hd.req.route.Rank,
-		Left: hd.req.until.Sub(now), OnTime: hd.req.onTime.Sub(now), Target: hd.req.route.Target,
-		Allows: hd.req.route.Allows, Tried: hd.tried,
+		Service: hd.service, Object: hd.req.Object, Rank: hd.rank(),
+		Left: hd.req.Until.Sub(now), OnTime: hd.req.OnTime.Sub(now), Target: hd.req.Route.Target,
+		Allows: hd.allows(permit), Tried: hd.tried, Alone: hd.verdict == VerdictIsolate,
 	})
 	if choice.Pick == nil {
 		a := refused(string(choice.Reason), choice.RetryAfter)
-		a.expected = choice.Expected
+		a.Expected = choice.Expected
 		return a
 	}
+	if refusal := hd.intend(ctx); refusal != nil {
+		hd.cfg.Table.Finish(now, choice.Pick, steering.Report{Result: steering.NotMade})
+		return refusal
+	}
 	hd.last = choice.Pick
-	hd.begin(ctx, choice.Pick)
+	hd.begin(ctx, choice.Pick, permit)
+	return nil
+}
+
+// rank is the request's rank for the choice of an endpoint. Behind a gate all are
+// equal: it has decided who is next.
+func (hd *handling) rank() int {
+	if hd.cfg.Gate != nil {
+		return 0
+	}
+	return hd.req.Route.Rank
+}
+
+// allows says in which regions an attempt may run.
+func (hd *handling) allows(permit Permit) func(model.Region) bool {
+	if permit == nil {
+		return hd.req.Route.Allows
+	}
+	region := permit.Region()
+	return func(r model.Region) bool { return r == region && hd.req.Route.Allows(r) }
+}
+
+// noIntentReturn is the Retry-After of a request whose intent was not recorded:
+// another witness is used by then.
+const noIntentReturn = time.Second
+
+// intend records the intent of the request before its first attempt.
+func (hd *handling) intend(ctx context.Context) *Answer {
+	if hd.req.Intent == nil || hd.intended {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, hd.req.Until)
+	defer cancel()
+	if err := hd.req.Intent(ctx); err != nil {
+		return refused("no-intent", noIntentReturn)
+	}
+	hd.intended = true
 	return nil
 }
 
 // begin sends the request to the picked endpoint in a goroutine of its own.
-func (hd *handling) begin(ctx context.Context, p *steering.Pick) {
+func (hd *handling) begin(ctx context.Context, p *steering.Pick, permit Permit) {
 	actx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	hd.cancels[p] = cancel
-	call := &exchange.Call{Method: hd.req.http.Method, Target: hd.req.http.RequestURI, Host: hd.req.http.Host,
-		Header: hd.req.http.Header, Body: hd.req.body, ID: hd.req.fields.ID, Deadline: hd.req.until,
-		Fresh: !hd.req.route.Repeatable}
+	if permit != nil && hd.req.Route.Repeatable {
+		permit.Preemptible(func() { cancel(errPreempted) })
+	}
+	call := &exchange.Call{Method: hd.req.Method, Target: hd.req.Target, Host: hd.req.Host,
+		Header: hd.req.Header, Body: hd.req.Body, ID: hd.req.ID, Deadline: hd.req.Until,
+		Fresh: !hd.req.Route.Repeatable}
 	to := exchange.Target{ID: p.ID, Addr: p.Addr, MaxConns: hd.maxConns()}
 	hd.detached.Add(1)
 	go func() {
 		defer hd.detached.Done()
 		defer cancel(nil)
 		started := time.Now()
+		hd.startedAt(p)
 		res := hd.cfg.Transport.Do(actx, to, call)
+		took := time.Since(started)
+		hd.endedAt(p, res, took)
 		hd.learn(p, res, time.Now())
-		hd.results <- attempt{p, res, time.Since(started)}
+		hd.vacate(permit, p, res, took)
+		hd.results <- attempt{p, res, took}
 		hd.lines.freed(p.Service)
 	}()
 }
@@ -193,19 +286,31 @@
 const minConns = 2
 
 // learn tells steering how the attempt ended.
-func (h *Handler) learn(p *steering.Pick, res exchange.Result, now time.Time) {
-	report := steering.Report{Result: resultOf(res), HasLoad: res.Fields.HasLoad,
-		Load: res.Fields.Load.Running + res.Fields.Load.Waiting}
-	h.cfg.Table.Finish(now, p, report)
+func (e *Engine) learn(p *steering.Pick, res exchange.Result, now time.Time) {
+	report := steering.Report{Result: resultOf(res), HasLoad: res.Fields.HasLoad, Load: loadOf(p, res.Fields.Load)}
+	e.cfg.Table.Finish(now, p, report)
+	if report.Result != steering.Abandoned && report.Result != steering.Shed {
+		e.cfg.Budget.Attempted(p.Service, report.Result != steering.Answered, now)
+	}
 	if res.Dial > 0 && res.Err == nil {
-		h.cfg.Table.Distance(p.Region, res.Dial)
+		e.cfg.Table.Distance(p.Region, res.Dial)
 	}
 	if res.Fields.ColdFor > 0 {
-		h.cfg.Table.Cooled(p.ID, res.Fields.ColdFor, now)
+		e.cfg.Table.Cooled(p.ID, res.Fields.ColdFor, now)
 	}
 	if report.Result == steering.Unreachable || report.Result == steering.Mistaken {
-		h.cfg.Reroute(p.Endpoint, res.Err)
+		e.cfg.Reroute(p.Endpoint, res.Err)
+	}
+}
+
+// loadOf is the number of requests that an endpoint reports, which may count in
+// other slots than its entry names.
+func loadOf(p *steering.Pick, l exchange.Load) int {
+	n := l.Running + l.Waiting
+	if l.Slots > 0 && l.Slots != p.Slots {
+		return (n*p.Slots + l.Slots/2) / l.Slots // Rounded to the nearest.
 	}
+	return n
 }
 
 // resultOf says what an exchange shows about the endpoint.
@@ -227,6 +332,10 @@
 		}
 		return steering.Unreachable
 	case exchange.Abandoned:
+		if errors.Is(res.Err, errTooSlow) {
+			// A probe tells whether the endpoint is lost or a connection silent.
+			return steering.Unreachable
+		}
 		return steering.Abandoned
 	}
 	return steering.Failed
@@ -234,68 +343,79 @@
 
 // ended decides what follows an attempt. It returns nil while the request goes
 // on.
-func (hd *handling) ended(ctx context.Context, a attempt) *answer {
-	switch a.result.Outcome {
-	case exchange.NotSent:
-		hd.unsent++
-	default:
-		hd.sent++
-	}
-	hd.tried = append(hd.tried, a.pick.ID)
-	if a.result.Outcome == exchange.Answered {
-		hd.mayHaveRun = true
-		if a.result.Status < http.StatusInternalServerError {
-			return &answer{response: &a.result, reason: "answered", outcome: model.OutcomeAnswered}
-		}
-		hd.fallback = &a
-	}
-	if a.result.Outcome == exchange.Unknown || a.result.Outcome == exchange.Abandoned {
-		hd.mayHaveRun = true
+func (hd *handling) ended(ctx context.Context, a attempt) *Answer {
+	hd.note(a)
+	if a.result.Outcome == exchange.Answered && a.result.Status < http.StatusInternalServerError {
+		return &Answer{Response: &a.result, Reason: "answered", Outcome: model.OutcomeAnswered}
 	}
 	if len(hd.cancels) > 0 {
 		hd.logAttempt(hd.req, a, "await the other attempt")
 		return nil
 	}
-	var refusal *answer
+	var refusal *Answer
 	why := hd.mayRetry(a)
 	if why == "" {
 		if refusal = hd.start(ctx); refusal == nil {
 			hd.logAttempt(hd.req, a, "another endpoint")
 			return nil
 		}
-		why = refusal.reason
+		why = refusal.Reason
 	}
 	final := hd.conclude(a, refusal, why)
 	hd.logAttempt(hd.req, a, "end: "+why)
 	return final
 }
 
+// note keeps what the end of an attempt says about the request.
+func (hd *handling) note(a attempt) {
+	if a.result.Outcome == exchange.NotSent {
+		hd.unsent++
+	} else {
+		hd.sent++
+	}
+	if !preempted(a.result) {
+		hd.tried = append(hd.tried, a.pick.ID)
+	}
+	switch a.result.Outcome {
+	case exchange.Answered:
+		hd.mayHaveRun = true
+		if a.result.Status >= http.StatusInternalServerError {
+			hd.fallback = &a
+		}
+	case exchange.Unknown, exchange.Abandoned:
+		hd.mayHaveRun = true
+	}
+}
+
 // mayRetry returns why there is no other attempt, or "" if there is one.
 func (hd *handling) mayRetry(a attempt) string {
 	switch {
-	case hd.mayHaveRun && !hd.req.route.Repeatable:
+	case hd.mayHaveRun && !hd.req.Route.Repeatable:
 		return "may-have-run"
-	case hd.sent >= hd.req.route.MaxAttempts:
+	case hd.sent >= hd.req.Route.MaxAttempts:
 		return "attempts-used"
 	case hd.unsent >= maxUnsent:
 		return "endpoints-unreachable"
-	case time.Until(hd.req.until) <= 0:
+	case time.Until(hd.req.Until) <= 0:
 		return "deadline"
 	}
 	if a.result.Outcome == exchange.NotSent && hd.sent == 0 {
 		return "" // No endpoint has seen the request yet.
 	}
-	if !hd.cfg.Budget.Withdraw(hd.service, time.Now()) {
+	if !hd.paid && !hd.cfg.Budget.Withdraw(hd.service, time.Now()) {
 		return "retry-budget"
 	}
+	hd.paid = false
 	return ""
 }
 
 // conclude chooses the final answer after the last attempt.
-func (hd *handling) conclude(a attempt, refusal *answer, why string) *answer {
+func (hd *handling) conclude(a attempt, refusal *Answer, why string) *Answer {
 	switch {
 	case hd.fallback != nil:
-		return &answer{response: &hd.fallback.result, reason: "endpoint-failed", outcome: model.OutcomeAnswered}
+		return &Answer{Response: &hd.fallback.result, Reason: "endpoint-failed", Outcome: model.OutcomeAnswered}
+	case refusal != nil && refusal.Gone:
+		return callerLeft(hd.outcome())
 	case hd.mayHaveRun:
 		return unknown(http.StatusBadGateway, why)
 	case refusal != nil:
@@ -311,15 +431,15 @@
 // shedReturn is when a caller returns whose request endpoints refused: spread
 // over a part of its time.
 func (hd *handling) shedReturn() time.Duration {
-	left := time.Until(hd.req.until)
+	left := time.Until(hd.req.Until)
 	return max(elsewhere, time.Duration((0.05+0.15*rand.Float64())*float64(left)))
 }
 
 // timedOut is the answer when the request's time is over.
-func (hd *handling) timedOut() *answer {
+func (hd *handling) timedOut() *Answer {
 	switch {
 	case hd.fallback != nil:
-		return &answer{response: &hd.fallback.result, reason: "endpoint-failed", outcome: model.OutcomeAnswered}
+		return &Answer{Response: &hd.fallback.result, Reason: "endpoint-failed", Outcome: model.OutcomeAnswered}
 	case hd.outcome() == model.OutcomeNotRun:
 		return refused("timeout", elsewhere)
 	}
@@ -329,37 +449,42 @@
 // hedgeAfter is when another endpoint gets the request too.
 func (hd *handling) hedgeAfter() time.Duration {
 	const never = time.Hour
-	if !hd.req.route.Repeatable || hd.last == nil {
+	if !hd.req.Route.Repeatable || hd.last == nil || hd.verdict != VerdictAllow {
 		return never
 	}
 	return hd.last.Patience
 }
 
-// hedge starts a second attempt beside the first.
-func (hd *handling) hedge(ctx context.Context) {
-	if len(hd.cancels) != 1 || hd.sent+1 >= hd.req.route.MaxAttempts || time.Until(hd.req.until) <= 0 {
-		return
+// hedge starts a second attempt beside the first. It reports false if only a
+// slot for it is missing.
+func (hd *handling) hedge(ctx context.Context) bool {
+	if len(hd.cancels) != 1 || hd.sent+1 >= hd.req.Route.MaxAttempts || time.Until(hd.req.Until) <= 0 {
+		return true
 	}
 	if !hd.cfg.Budget.Withdraw(hd.service, time.Now()) {
-		return
+		return true
 	}
+	hd.paid = true
 	first := hd.last
 	hd.tried = append(hd.tried, first.ID)
-	if refusal := hd.start(ctx); refusal == nil {
-		hd.logHedge(hd.req, first, hd.last, time.Since(hd.req.arrived))
+	if refusal := hd.startBeside(ctx); refusal != nil {
+		return false
 	}
+	hd.paid = false
+	hd.logHedge(hd.req, first, hd.last, time.Since(hd.req.Arrived))
+	return true
 }
 
 // release ends the attempts that are no longer needed. A request that may not
 // be repeated goes on for its time, because it may be at work already.
 func (hd *handling) release() {
-	if hd.req.route.Repeatable {
+	if hd.req.Route.Repeatable {
 		for _, cancel := range hd.cancels {
 			cancel(errCallerGone)
 		}
 		return
 	}
-	left := time.Until(hd.req.until) + detachedGrace
+	left := time.Until(hd.req.Until) + detachedGrace
 	for _, cancel := range hd.cancels {
 		time.AfterFunc(left, func() { cancel(errCallerGone) })
 	}
--- /dev/null
+++ b/internal/forward/bench_test.go
@@ -0,0 +1,23 @@
+package forward_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"jujubestile.example/jujubestile/internal/exchange"
+)
+
+// BenchmarkCapacityDo measures the decision path of a request without I/O,
+// behind a gate and with a quarantine.
+func BenchmarkCapacityDo(b *testing.B) {
+	for name, repeatable := range map[string]bool{"repeatable": true, "not": false} {
+		b.Run(name, func(b *testing.B) {
+			g := newGated(4, func(context.Context, int, exchange.Target, *exchange.Call) exchange.Result { return ok("") })
+			b.ReportAllocs()
+			for b.Loop() {
+				g.Do(b.Context(), gatedRequest(repeatable, time.Second))
+			}
+		})
+	}
+}
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -44,6 +44,8 @@
 type tokens struct {
 	slack, saved float64
 	at           time.Time
+	// failures is a moving average of attempts, 1 if each recent one failed.
+	failures float64
 }
 
 // NewBudget returns the part of one of one instances.
@@ -105,6 +107,39 @@
 	return true
 }
 
+// Repeated counts a request that its caller repeats. It takes a token like an
+// attempt of ours, so that the budgets of callers and instances do not multiply.
+// It reports false for a repetition beyond the budget while the service fails: it
+// would only add attempts. In an overload it is served like any other, as its
+// caller was told to come again.
+func (b *Budget) Repeated(s model.Service, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.tokens(s, now)
+	covered := t.saved >= 1
+	t.saved = max(t.saved-1, -b.mostSaved())
+	return covered || t.failures <= failingShare
+}
+
+const (
+	// failingShare is the share of failed attempts above which a service fails.
+	failingShare = 0.5
+	// failuresWeight is the weight of one attempt in that share.
+	failuresWeight = 0.05
+)
+
+// Attempted notes whether an attempt failed.
+func (b *Budget) Attempted(s model.Service, failed bool, now time.Time) {
+	x := 0.0
+	if failed {
+		x = 1
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.tokens(s, now)
+	t.failures += failuresWeight * (x - t.failures)
+}
+
 // Left returns the attempts that may be made now, for logs and metrics.
 func (b *Budget) Left(s model.Service, now time.Time) float64 {
 	b.mu.Lock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -1,25 +1,25 @@
 // Package forward serves the requests of callers: it finds the route of the
 // desired state, sends the request to an endpoint that steering chooses, sends
 // it once more where that is safe, and tells the caller honestly how it ended.
+//
+// The Engine makes the attempts. The Handler is the interface of callers on
+// the users' platform; package entry is that of the product's own deployment.
 package forward
 
 import (
-	"context"
+	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
-	"jujubestile.example/jujubestile/internal/desired"
-	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/exchange"
-	"jujubestile.example/jujubestile/internal/steering"
+	"jujubestile.example/jujubestile/internal/model"
 )
 
 // Fields are what the header of a caller's request says.
@@ -38,49 +38,23 @@
 	Read(http.Header) Fields
 }
 
-// Transport sends requests to endpoints.
-type Transport interface {
-	Do(ctx context.Context, to exchange.Target, call *exchange.Call) exchange.Result
-}
-
-// Config holds what a Handler needs. All fields are required.
+// Config holds what a Handler needs.
 type Config struct {
-	Log       events.Logger
-	Protocol  CallerProtocol
-	Table     *steering.Table
-	Transport Transport
-	Budget    *Budget
-	Rand      *rand.Rand
-	// State returns the desired state in force, or nil.
-	State func() *desired.State
-	// Instances returns how many instances share the endpoints' connections.
-	Instances func() int
-	// Reroute is called when an endpoint cannot be reached or its address
-	// belongs to another one.
-	Reroute func(steering.Endpoint, error)
+	EngineConfig
+	Protocol CallerProtocol
 }
 
 // Handler serves the requests of callers.
 type Handler struct {
-	cfg      Config
-	split    *splitter
-	patience *patience
-	lines    *lines
-	metrics  *Metrics
+	*Engine
+	protocol CallerProtocol
 	inFlight atomic.Int64
-	// detached counts attempts that go on without their caller.
-	detached sync.WaitGroup
 	// closing makes callers use other connections; refusing takes no new
 	// requests.
 	closing, refusing atomic.Bool
-	sampleOK          events.Limiter
-	sampleRefused     events.Limiter
-	sampleFailed      events.Limiter
 }
 
 const (
-	// okLines, refusedLines and failedLines bound the log lines a second.
-	okLines, refusedLines, failedLines = 2, 30, 100
 	// defaultBody bounds a request body if the desired state has no limit.
 	defaultBody = 1 << 20
 	// defaultTimeout bounds requests of routes without a timeout whose callers
@@ -93,19 +67,9 @@
 
 // New returns a handler.
 func New(cfg Config) *Handler {
-	return &Handler{cfg: cfg, split: newSplitter(cfg.Rand), patience: newPatience(), lines: newLines(), metrics: newMetrics(),
-		sampleOK:      events.Limiter{PerSecond: okLines},
-		sampleRefused: events.Limiter{PerSecond: refusedLines},
-		sampleFailed:  events.Limiter{PerSecond: failedLines},
-	}
+	return &Handler{Engine: NewEngine(cfg.EngineConfig), protocol: cfg.Protocol}
 }
 
-// Metrics returns the handler's counters.
-func (h *Handler) Metrics() *Metrics { return h.metrics }
-
-// Waiting returns the number of requests in line for a slot.
-func (h *Handler) Waiting() int { return h.lines.waiting() }
-
 // InFlight returns the number of requests in flight.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
@@ -115,52 +79,26 @@
 // Refuse makes the handler take no new requests.
 func (h *Handler) Refuse() { h.refusing.Store(true) }
 
-// Wait waits for attempts that go on without their caller.
-func (h *Handler) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() { h.detached.Wait(); close(done) }()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
-// request is one request of a caller.
-type request struct {
-	fields  Fields
-	route   *desired.Route
-	version desired.Version
-	arrived time.Time
-	// until is when no answer is of use any more, by the caller's wait and the
-	// route's timeout.
-	until time.Time
-	// onTime is when an answer loses its full value.
-	onTime time.Time
-	body   []byte
-	// object is a hash of the route and the object, or 0.
-	object uint32
-	http   *http.Request
-}
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	arrived := time.Now()
 	if h.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	req := &request{fields: h.cfg.Protocol.Read(r.Header), arrived: arrived, http: r}
-	if early := h.prepare(w, req); early != nil {
+	fields := h.protocol.Read(r.Header)
+	req := &Request{ID: fields.ID, ObjectName: fields.Object, Arrived: time.Now(), Wait: fields.Wait,
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header}
+	if early := h.prepare(w, r, req, fields); early != nil {
 		h.finish(w, req, *early)
 		return
 	}
-	h.finish(w, req, h.handle(r.Context(), req))
+	h.finish(w, req, h.Do(r.Context(), req))
 }
 
 // prepare finds the route and reads the body. It returns the answer to a
 // request that goes no further.
-func (h *Handler) prepare(w http.ResponseWriter, req *request) *answer {
+func (h *Handler) prepare(w http.ResponseWriter, r *http.Request, req *Request, fields Fields) *Answer {
 	if h.refusing.Load() {
 		return refused("stopping", elsewhere)
 	}
@@ -168,48 +106,111 @@
 	if state == nil {
 		return refused("no-desired-state", elsewhere)
 	}
-	req.version = state.Version
-	path, _, _ := strings.Cut(req.http.RequestURI, "?")
-	req.route = state.Match(req.http.Host, path)
-	if req.route == nil {
+	req.Version = state.Version
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	req.Route = state.Match(r.Host, path)
+	if req.Route == nil {
 		return denied(http.StatusNotFound, "no-route")
 	}
-	h.setTimes(req)
+	h.setTimes(req, fields)
 	limit := state.Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.http.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return denied(http.StatusRequestEntityTooLarge, "body-over-limit")
 	}
 	if err != nil {
-		return &answer{gone: true, reason: "body-cut"}
+		return &Answer{Gone: true, Reason: "body-cut"}
 	}
-	req.body = body
-	if req.route.Sticky && req.fields.Object != "" {
-		req.object = uint32(xxhash.Sum64String(req.route.Name + "\x00" + req.fields.Object))
+	req.Body = body
+	if req.Route.Sticky && fields.Object != "" {
+		req.Object = uint32(xxhash.Sum64String(req.Route.Name + "\x00" + fields.Object))
 	}
 	return nil
 }
 
 // setTimes derives the deadlines of a request from the caller's wait and the
 // route.
-func (h *Handler) setTimes(req *request) {
+func (h *Handler) setTimes(req *Request, fields Fields) {
 	wait := defaultTimeout
-	if req.route.Timeout > 0 {
-		wait = req.route.Timeout
+	if req.Route.Timeout > 0 {
+		wait = req.Route.Timeout
 	}
 	spent := time.Duration(0)
-	if req.fields.HasWait {
-		wait = min(wait, req.fields.Wait)
-		spent = h.patience.spent(req.route.Name, req.fields.Wait, req.arrived)
+	if fields.HasWait {
+		wait = min(wait, fields.Wait)
+		spent = h.patience.spent(req.Route.Name, fields.Wait, req.Arrived)
 	}
-	req.until = req.arrived.Add(wait)
-	req.onTime = req.arrived.Add(req.route.Target - spent - callerTrip)
+	req.Until = req.Arrived.Add(wait)
+	req.OnTime = req.Arrived.Add(req.Route.Target - spent - callerTrip)
 }
 
 // elsewhere is the Retry-After of an instance that takes no requests: another
 // one can take them at once.
 const elsewhere = 50 * time.Millisecond
+
+// finish records the answer and sends it.
+func (h *Handler) finish(w http.ResponseWriter, req *Request, a Answer) {
+	h.Record(req, a, time.Since(req.Arrived))
+	switch {
+	case a.Gone:
+		// Ends the connection without an answer.
+		panic(http.ErrAbortHandler)
+	case a.Response != nil:
+		relay(w, a.Response)
+	default:
+		fail(w, a)
+	}
+}
+
+// relay sends an endpoint's response unchanged.
+func relay(w http.ResponseWriter, r *exchange.Result) {
+	out := w.Header()
+	for name, values := range exchange.EndToEnd(r.Header) {
+		out[name] = values
+	}
+	if out.Get("Content-Length") == "" && bodyAllowed(r.Status) {
+		out.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	if _, ok := out["Content-Type"]; !ok {
+		out["Content-Type"] = nil // Keeps net/http from guessing one.
+	}
+	if _, ok := out["Date"]; !ok {
+		out["Date"] = nil
+	}
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(r.Body) // A caller that has left cannot be told.
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// problem is an RFC 9457 problem details object.
+type problem struct {
+	Type    string        `json:"type"`
+	Title   string        `json:"title"`
+	Status  int           `json:"status"`
+	Outcome model.Outcome `json:"outcome"`
+}
+
+const problemPrefix = "urn:jujubestile:problem:"
+
+func fail(w http.ResponseWriter, a Answer) {
+	p := problem{Type: problemPrefix + a.Reason, Title: http.StatusText(a.Status), Status: a.Status, Outcome: a.Outcome}
+	body, err := json.Marshal(p)
+	if err != nil {
+		panic(err) // A struct of strings and numbers can always be written.
+	}
+	head := w.Header()
+	head.Set("Content-Type", "application/problem+json")
+	head.Set("Content-Length", strconv.Itoa(len(body)))
+	if a.RetryAfter > 0 {
+		head.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(body) // A caller that has left cannot be told.
+}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -24,6 +23,7 @@
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/exchange"
 	"jujubestile.example/jujubestile/internal/forward"
+	"jujubestile.example/jujubestile/internal/logtest"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/steering"
 )
@@ -72,40 +72,16 @@
 	*forward.Handler
 	server *httptest.Server
 	net    *endpoints
-	log    *lockedBuffer
+	log    *logtest.Buffer
 	table  *steering.Table
 	state  *desired.State
 }
 
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedBuffer) lines() []map[string]any {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var out []map[string]any
-	for _, line := range strings.Split(strings.TrimSpace(l.b.String()), "\n") {
-		var m map[string]any
-		if json.Unmarshal([]byte(line), &m) == nil {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // newSystem has four endpoints and two routes: /safe/ may be repeated, /pay/
 // may not.
 func newSystem(t *testing.T, reply func(context.Context, int, exchange.Target, *exchange.Call) exchange.Result) *system {
 	t.Helper()
-	s := &system{net: &endpoints{reply: reply}, log: &lockedBuffer{}}
+	s := &system{net: &endpoints{reply: reply}, log: &logtest.Buffer{}}
 	rnd := rand.New(rand.NewPCG(1, 2))
 	s.table = steering.New(steering.Config{Self: "i1", Domain: "a1", Region: "a", Regions: map[model.Domain]model.Region{"a1": "a"}, MaxShift: 0.15, Rand: rnd})
 	for i := range 4 {
@@ -118,10 +94,10 @@
 	}
 	s.state = desired.New(7, []desired.Route{route("/safe/", true, 1), route("/pay/", false, 0)},
 		[]desired.Service{{Name: "s", MaxConnections: 100}}, desired.Limits{MaxBodyBytes: 1000})
-	s.Handler = forward.New(forward.Config{Log: events.New(s.log, zerolog.DebugLevel, "i1"), Protocol: testCaller{}, Table: s.table,
+	s.Handler = forward.New(forward.Config{Protocol: testCaller{}, EngineConfig: forward.EngineConfig{Log: events.New(s.log, zerolog.DebugLevel, "i1"), Table: s.table,
 		Transport: s.net, Budget: forward.NewBudget(forward.BudgetConfig{Ratio: 0.2, Slack: 120, Window: 10 * time.Second}),
 		Rand: rand.New(rand.NewPCG(3, 4)), State: func() *desired.State { return s.state }, Instances: func() int { return 1 },
-		Reroute: func(steering.Endpoint, error) {}})
+		Reroute: func(steering.Endpoint, error) {}}})
 	s.server = httptest.NewUnstartedServer(s.Handler)
 	s.server.Config.ConnContext = forward.ConnContext
 	s.server.Listener = forward.Listener{Listener: s.server.Listener}
@@ -222,7 +198,7 @@
 // wantLine checks that a request has a line of the event with the fields.
 func (s *system) wantLine(t *testing.T, event int, request string, fields ...string) {
 	t.Helper()
-	for _, l := range s.log.lines() {
+	for _, l := range s.log.Lines() {
 		if l["event"] != float64(event) || l["request"] != request {
 			continue
 		}
@@ -396,10 +372,10 @@
 	defer close(block)
 	s := newSystem(t, func(context.Context, int, exchange.Target, *exchange.Call) exchange.Result { return broken })
 	s.Handler = nil
-	h := forward.New(forward.Config{Log: events.New(sink, zerolog.DebugLevel, "i1"), Protocol: testCaller{}, Table: s.table,
+	h := forward.New(forward.Config{Protocol: testCaller{}, EngineConfig: forward.EngineConfig{Log: events.New(sink, zerolog.DebugLevel, "i1"), Table: s.table,
 		Transport: s.net, Budget: forward.NewBudget(forward.BudgetConfig{Ratio: 0.2, Slack: 120, Window: 10 * time.Second}),
 		Rand: rand.New(rand.NewPCG(3, 4)), State: func() *desired.State { return s.state }, Instances: func() int { return 1 },
-		Reroute: func(steering.Endpoint, error) {}})
+		Reroute: func(steering.Endpoint, error) {}}})
 	start := time.Now()
 	for i := range 1000 {
 		r := httptest.NewRequest("POST", "/pay/x", nil)
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -25,31 +25,63 @@
 	return e
 }
 
+// logAnswer writes the line of a request's end. Lines of successes are
+// sampled.
+func (e *Engine) logAnswer(req *Request, a Answer, took time.Duration) {
+	event, limiter := a.Event(), &e.sampleFailed
+	switch event {
+	case events.RequestAnswered:
+		limiter = &e.sampleOK
+	case events.RequestRefused:
+		limiter = &e.sampleRefused
+	}
+	ok, suppressed := limiter.Allow(time.Now())
+	if !ok {
+		return
+	}
+	l := e.cfg.Log.Log(event).Str("request", req.ID).Int("status", a.FinalStatus()).
+		Str("reason", a.Reason).Dur("wait_ms", req.Wait).Dur("took_ms", took).Int("tries", a.Tries).Uint64("state", uint64(req.Version))
+	if req.Route != nil {
+		l = l.Str("route", req.Route.Name).Int("rank", req.Route.Rank).Str("object", req.ObjectName).Bool("repeatable", req.Route.Repeatable).
+			Dur("left_ms", time.Until(req.Until)).Dur("on_time_ms", time.Until(req.OnTime))
+	}
+	if a.Expected > 0 {
+		l = l.Dur("expected_ms", a.Expected)
+	}
+	if a.RetryAfter > 0 {
+		l = l.Dur("retry_after_ms", a.RetryAfter)
+	}
+	if suppressed > 0 {
+		l = l.Int("suppressed", suppressed)
+	}
+	pickFields(l, a.Last).Send()
+}
+
 // logAttempt writes the line of an attempt that gave no good answer.
-func (h *Handler) logAttempt(req *request, a attempt, next string) {
-	ok, suppressed := h.sampleFailed.Allow(time.Now())
+func (e *Engine) logAttempt(req *Request, a attempt, next string) {
+	ok, suppressed := e.sampleFailed.Allow(time.Now())
 	if !ok {
 		return
 	}
-	e := h.cfg.Log.Log(events.AttemptFailed).Str("request", req.fields.ID).Str("route", req.route.Name).
+	l := e.cfg.Log.Log(events.AttemptFailed).Str("request", req.ID).Str("route", req.Route.Name).
 		Str("outcome", a.result.Outcome.String()).Int("status", a.result.Status).Bool("reused", a.result.Reused).
 		Dur("took_ms", a.took).Str("next", next).
-		Float64("budget_left", h.cfg.Budget.Left(a.pick.Service, time.Now()))
+		Float64("budget_left", e.cfg.Budget.Left(a.pick.Service, time.Now()))
 	if a.result.Err != nil {
-		e = e.AnErr("error", a.result.Err)
+		l = l.AnErr("error", a.result.Err)
 	}
 	if suppressed > 0 {
-		e = e.Int("suppressed", suppressed)
+		l = l.Int("suppressed", suppressed)
 	}
-	pickFields(e, a.pick).Send()
+	pickFields(l, a.pick).Send()
 }
 
-func (h *Handler) logHedge(req *request, first, second *steering.Pick, after time.Duration) {
-	ok, _ := h.sampleFailed.Allow(time.Now())
+func (e *Engine) logHedge(req *Request, first, second *steering.Pick, after time.Duration) {
+	ok, _ := e.sampleFailed.Allow(time.Now())
 	if !ok {
 		return
 	}
-	e := h.cfg.Log.Log(events.AttemptHedged).Str("request", req.fields.ID).Str("route", req.route.Name).
+	l := e.cfg.Log.Log(events.AttemptHedged).Str("request", req.ID).Str("route", req.Route.Name).
 		Str("first", string(first.ID)).Dur("first_expected_ms", first.Expected).Dur("after_ms", after)
-	pickFields(e, second).Send()
+	pickFields(l, second).Send()
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -32,17 +32,17 @@
 	return m
 }
 
-func (m *Metrics) finished(req *request, a answer, took time.Duration) {
+func (m *Metrics) finished(req *Request, a Answer, took time.Duration) {
 	rank := -1
-	if req.route != nil {
-		rank = req.route.Rank
+	if req.Route != nil {
+		rank = req.Route.Rank
 	}
-	outcome := string(a.outcome)
-	if a.gone {
+	outcome := string(a.Outcome)
+	if a.Gone {
 		outcome = "caller-gone"
 	}
-	m.Requests.Add("rank="+strconv.Itoa(rank)+" outcome="+outcome+" reason="+a.reason, 1)
-	if a.outcome != model.OutcomeAnswered {
+	m.Requests.Add("rank="+strconv.Itoa(rank)+" outcome="+outcome+" reason="+a.Reason, 1)
+	if a.Outcome != model.OutcomeAnswered {
 		return
 	}
 	m.mu.Lock()
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -30,8 +30,15 @@
 	intentAttempts = 2
 )
 
+// Response is an endpoint's whole answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
 // Claim is the right to run one request under its key. It implements
-// dispatch.Claim. Finish must be called exactly once; later calls have no
+// entry.Claim. Finish must be called exactly once; later calls have no
 // effect.
 type Claim struct {
 	l   *Ledger
@@ -48,8 +55,6 @@
 	taken bool
 }
 
-var _ dispatch.Claim = (*Claim)(nil)
-
 func (l *Ledger) newClaim(q question, r *record) *Claim {
 	return &Claim{l: l, q: q, rec: r}
 }
@@ -122,7 +127,7 @@
 // Finish records the outcome and, if it is answered, the response. It does
 // not wait for the witness. It returns the outcome to report. Not-run is final
 // for the key.
-func (c *Claim) Finish(outcome model.Outcome, resp *dispatch.Response) model.Outcome {
+func (c *Claim) Finish(outcome model.Outcome, resp *Response) model.Outcome {
 	c.mu.Lock()
 	asked := c.asked
 	if c.taken && outcome == model.OutcomeNotRun {
--- a/internal/ledger/loopback_test.go
+++ b/internal/ledger/loopback_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/peer"
 )
@@ -99,7 +98,7 @@
 	return &loopback{clients: map[model.InstanceID]*rpc.Client{}, incs: map[model.InstanceID]model.Incarnation{}}
 }
 
-var benchResponse = &dispatch.Response{Status: 201, Body: make([]byte, 1<<10)}
+var benchResponse = &Response{Status: 201, Body: make([]byte, 1<<10)}
 
 func benchmarkLedger(b *testing.B, witness model.InstanceID, parallel bool) {
 	n := newLoopback()
--- a/internal/ledger/sim_test.go
+++ b/internal/ledger/sim_test.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/peer"
 	"jujubestile.example/jujubestile/internal/store"
@@ -206,7 +205,7 @@
 	return out.Interface()
 }
 
-// request handles a caller's request at a node as entry and dispatch do.
+// request handles a caller's request at a node as entry and forward do.
 func (w *world) request(to model.InstanceID, key string, fp uint64) {
 	defer w.wg.Done()
 	n := w.node(to)
@@ -261,7 +260,7 @@
 	if w.chance(0.1) {
 		return string(c.Finish(model.OutcomeUnknown, nil))
 	}
-	o := c.Finish(model.OutcomeAnswered, &dispatch.Response{Status: 201, Body: []byte(body)})
+	o := c.Finish(model.OutcomeAnswered, &Response{Status: 201, Body: []byte(body)})
 	return string(o) + body
 }
 
--- a/internal/ledger/unit_test.go
+++ b/internal/ledger/unit_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -61,7 +60,7 @@
 		if err := c.Intent(context.Background()); err != nil {
 			t.Fatal(err)
 		}
-		c.Finish(model.OutcomeAnswered, &dispatch.Response{Status: 201, Body: []byte("first")})
+		c.Finish(model.OutcomeAnswered, &Response{Status: 201, Body: []byte("first")})
 		if o := c.Finish(model.OutcomeUnknown, nil); o != model.OutcomeUnknown {
 			t.Error(o)
 		}
@@ -98,7 +97,7 @@
 		a.book.max = 400
 		finish := func(key string, size int) {
 			c := mustBegin(t, a, key)
-			c.Finish(model.OutcomeAnswered, &dispatch.Response{Status: 201, Header: http.Header{"A": {"b"}}, Body: make([]byte, size)})
+			c.Finish(model.OutcomeAnswered, &Response{Status: 201, Header: http.Header{"A": {"b"}}, Body: make([]byte, size)})
 		}
 		first := a.Prefix() + "first"
 		finish(first, 60<<10)
@@ -207,7 +206,7 @@
 		for i := range 40 {
 			keys = append(keys, fmt.Sprint(prefix, i))
 			claim := mustBegin(t, a, keys[i])
-			claim.Finish(model.OutcomeAnswered, &dispatch.Response{Status: 201, Body: make([]byte, 50<<10)})
+			claim.Finish(model.OutcomeAnswered, &Response{Status: 201, Body: make([]byte, 50<<10)})
 		}
 		mustBegin(t, a, prefix+"running")
 		if err := a.HandOver(context.Background(), "b", w.node("b").inc); err != nil {
@@ -256,7 +255,7 @@
 		w := quietWorld()
 		a, b := w.node("a").l, w.node("b").l
 		claim := mustBegin(t, a, "own-key")
-		claim.Finish(model.OutcomeAnswered, &dispatch.Response{Status: 201, Body: []byte("x")})
+		claim.Finish(model.OutcomeAnswered, &Response{Status: 201, Body: []byte("x")})
 		if _, res, err := b.Begin(context.Background(), "own-key", 1); err != nil || string(res.Body) != "x" {
 			t.Errorf("bound elsewhere: %+v %v", res, err)
 		}
--- a/internal/policytest/endpoint.go
+++ b/internal/policytest/endpoint.go
@@ -1,17 +1,18 @@
-// Package policytest measures the dispatch policy: several instances with the
-// real dispatcher, balancer, admission and retry code send to small fakes of
-// endpoints in virtual time. Only its tests and no binary use it.
+// Package policytest measures the policy of the product's own deployment:
+// several instances with the real engine, steering and admission send to small
+// fakes of endpoints in virtual time. Only its tests and no binary use it.
 package policytest
 
 import (
 	"context"
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/exchange"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -23,10 +24,10 @@
 )
 
 const (
-	// headerTimeout ends an exchange on a silent pooled connection.
-	headerTimeout = 500 * time.Millisecond
+	// silenceTimeout ends an exchange on a silent connection.
+	silenceTimeout = time.Second
 	// connectTimeout ends the attempt to connect to a lost host.
-	connectTimeout = 200 * time.Millisecond
+	connectTimeout = 300 * time.Millisecond
 	// reportLag is the age of the load reports of a lagging endpoint.
 	reportLag = time.Second
 	// coldTime is how long a cold endpoint is slower, coldFactor how much at
@@ -55,12 +56,12 @@
 	coldUntil time.Time
 	report    report
 	reported  float64
-	slow      float64 // factor on the service time; 0 means 1
-	refusing  bool    // refuses connections
-	lost      bool    // answers nothing at all
-	failing   bool    // answers 503 without Retry-After at once
-	shedding  bool    // refuses all work
-	silent    map[model.InstanceID]bool
+	slow      float64                  // factor on the service time; 0 means 1
+	refusing  bool                     // refuses connections
+	lost      bool                     // answers nothing at all
+	failing   bool                     // answers 503 without Retry-After at once
+	shedding  bool                     // refuses all work
+	silent    map[model.InstanceID]int // kept connections that are silent
 	attempts  []time.Time
 	from, to  time.Time // encloses what busy counts
 	busy      map[model.Priority]time.Duration
@@ -171,7 +172,7 @@
 	return e.lost
 }
 
-// transport is the fake dispatch.Transport of one instance.
+// transport is the fake forward.Transport of one instance.
 type transport struct {
 	world  *world
 	id     model.InstanceID
@@ -191,107 +192,138 @@
 	}
 }
 
-// Send implements dispatch.Transport. Attempts that are cancelled at the same
+var (
+	notSent = exchange.Result{Outcome: exchange.NotSent, Err: errors.New("not sent")}
+	silence = exchange.Result{Outcome: exchange.Unknown, Err: errors.New("silent connection")}
+)
+
+// abandoned is the end of an exchange by its context.
+func abandoned(ctx context.Context) exchange.Result {
+	return exchange.Result{Outcome: exchange.Abandoned, Err: context.Cause(ctx)}
+}
+
+// Do implements forward.Transport. Attempts that are cancelled at the same
 // instant return at different ones.
-func (t *transport) Send(ctx context.Context, to model.Endpoint, r *dispatch.Request) (*dispatch.Response, error) {
+func (t *transport) Do(ctx context.Context, to exchange.Target, call *exchange.Call) exchange.Result {
+	e := t.world.endpoints[to.ID]
+	if call.Target == probePath {
+		return t.probe(ctx, e)
+	}
 	t.world.sends.Add(1)
-	response, err := t.exchange(ctx, to, r)
-	if err != nil {
+	// Endpoints stop work whose deadline has passed.
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	res := t.exchange(ctx, e, call)
+	if res.Outcome != exchange.Answered {
 		time.Sleep(t.spacer.next())
 	}
-	return response, err
+	return res
 }
 
-func (t *transport) exchange(ctx context.Context, to model.Endpoint, r *dispatch.Request) (*dispatch.Response, error) {
-	e := t.world.endpoints[to.ID]
+func (t *transport) exchange(ctx context.Context, e *endpoint, call *exchange.Call) exchange.Result {
 	oneWay := t.oneWay(e)
 	e.mu.Lock()
 	e.attempts = append(e.attempts, time.Now())
 	lost, refusing, failing := e.lost, e.refusing, e.failing
-	silent := e.silent[t.id] && r.Repeatable
+	// Work that may not be repeated gets a new connection.
+	silent := e.silent[t.id] > 0 && !call.Fresh
+	if silent {
+		e.silent[t.id]-- // It is closed after this exchange.
+	}
 	e.mu.Unlock()
 	switch {
-	case lost && !r.Repeatable:
+	case lost && call.Fresh:
 		sleep(ctx, connectTimeout)
-		return nil, dispatch.ErrNotSent
+		return notSent
 	case lost, silent:
-		return t.noAnswer(ctx, e)
+		return noAnswer(ctx)
 	case refusing:
 		sleep(ctx, 2*oneWay)
-		return nil, dispatch.ErrNotSent
+		return notSent
 	}
 	if !sleep(ctx, oneWay) {
-		return nil, dispatch.ErrInterrupted
+		return abandoned(ctx)
 	}
 	if failing {
 		sleep(ctx, oneWay)
-		return &dispatch.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}, nil
+		return exchange.Result{Status: http.StatusServiceUnavailable, Header: http.Header{}}
 	}
-	return t.run(ctx, e, r, oneWay)
+	return t.run(ctx, e, call, oneWay)
 }
 
-// probeTime is what a probe costs beside the round trip.
-const probeTime = 6 * time.Millisecond
+const (
+	// probePath is the target of probes.
+	probePath = "/healthz"
+	// probeTime is what a probe costs beside the round trip.
+	probeTime = 6 * time.Millisecond
+)
 
-// Probe implements dispatch.Prober.
-func (t *transport) Probe(ctx context.Context, to model.Endpoint) error {
-	e := t.world.endpoints[to.ID]
+func (t *transport) probe(ctx context.Context, e *endpoint) exchange.Result {
 	if e.isLost() {
 		sleep(ctx, connectTimeout)
-		return dispatch.ErrNotSent
+		return notSent
 	}
 	e.mu.Lock()
-	down := e.refusing || e.failing
+	refusing, failing := e.refusing, e.failing
 	e.mu.Unlock()
-	if !sleep(ctx, 2*t.oneWay(e)+probeTime) || down {
-		return dispatch.ErrNotSent
+	if !sleep(ctx, 2*t.oneWay(e)+probeTime) || refusing {
+		return notSent
 	}
-	return nil
+	status := http.StatusOK
+	if failing {
+		status = http.StatusServiceUnavailable
+	}
+	return exchange.Result{Status: status, Header: http.Header{}}
 }
 
-// noAnswer waits on a connection that went silent; then its pool is closed.
-func (t *transport) noAnswer(ctx context.Context, e *endpoint) (*dispatch.Response, error) {
-	if sleep(ctx, headerTimeout) {
-		e.mu.Lock()
-		delete(e.silent, t.id)
-		e.mu.Unlock()
+// noAnswer waits on a connection that went silent; then it is closed.
+func noAnswer(ctx context.Context) exchange.Result {
+	if !sleep(ctx, silenceTimeout) {
+		return abandoned(ctx)
 	}
-	return nil, dispatch.ErrInterrupted
+	return silence
 }
 
 // run is the exchange at the endpoint. A cancellation reaches it after the
 // one-way latency.
-func (t *transport) run(ctx context.Context, e *endpoint, r *dispatch.Request, oneWay time.Duration) (*dispatch.Response, error) {
+func (t *transport) run(ctx context.Context, e *endpoint, call *exchange.Call, oneWay time.Duration) exchange.Result {
 	ok, err := e.enter(ctx)
 	if err != nil {
-		return nil, dispatch.ErrInterrupted
+		return abandoned(ctx)
 	}
 	if !ok {
 		sleep(ctx, oneWay)
-		h := http.Header{"Retry-After": {"1"}}
-		return &dispatch.Response{Status: http.StatusServiceUnavailable, Header: h}, dispatch.ErrRefused
+		return exchange.Result{Outcome: exchange.NotRun, Status: http.StatusServiceUnavailable, Header: http.Header{},
+			Fields: exchange.ResponseFields{NotRun: true}}
 	}
-	work := e.serviceTime(workOf(r))
+	priority, needed := workOf(call)
+	work := e.serviceTime(needed)
 	start := time.Now()
 	if !sleep(ctx, work) {
 		time.AfterFunc(oneWay, e.exit)
-		e.account(r.Priority, time.Since(start)+oneWay, time.Now().Add(oneWay))
-		return nil, dispatch.ErrInterrupted
+		e.account(priority, time.Since(start)+oneWay, time.Now().Add(oneWay))
+		return abandoned(ctx)
 	}
-	e.account(r.Priority, work, time.Now())
+	e.account(priority, work, time.Now())
 	e.mu.Lock()
-	e.exitLocked()
-	h := http.Header{}
+	var fields exchange.ResponseFields
 	if e.report != reportNone {
-		h.Set("Endpoint-Load-Metrics", fmt.Sprintf("TEXT application_utilization=%.3f", e.load()))
+		fields.HasLoad, fields.Load = true, exchange.Load{Running: int(e.load() * loadScale), Slots: loadScale}
 	}
+	e.exitLocked()
 	e.mu.Unlock()
-	if !sleep(ctx, oneWay) || e.isLost() {
-		return nil, dispatch.ErrInterrupted
+	if !sleep(ctx, oneWay) {
+		return abandoned(ctx)
 	}
-	return &dispatch.Response{Status: http.StatusOK, Header: h}, nil
+	if e.isLost() {
+		return silence
+	}
+	return exchange.Result{Status: http.StatusOK, Header: http.Header{}, Fields: fields}
 }
 
+// loadScale is the slots in which loads are reported, as a whole number.
+const loadScale = 1000
+
 // sleep reports false if the context ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -304,11 +336,15 @@
 	}
 }
 
-// workOf reads the service time from the path: both variants get the same work.
-func workOf(r *dispatch.Request) time.Duration {
-	n, err := strconv.Atoi(r.Path[1:])
-	if err != nil {
+// targetOf is the path of a request: its priority and its service time, so that
+// both variants get the same work.
+func targetOf(p model.Priority, work time.Duration) string {
+	return fmt.Sprintf("/%d/%d", p, work)
+}
+
+func workOf(call *exchange.Call) (p model.Priority, work time.Duration) {
+	if _, err := fmt.Sscanf(call.Target, "/%d/%d", &p, &work); err != nil {
 		panic(err)
 	}
-	return time.Duration(n)
+	return p, work
 }
--- a/internal/policytest/naive.go
+++ b/internal/policytest/naive.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/exchange"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -40,24 +39,23 @@
 	}
 }
 
-// Do implements doer.
-func (n *naive) Do(ctx context.Context, r *dispatch.Request, _ dispatch.Claim) dispatch.Result {
+// do implements doer.
+func (n *naive) do(ctx context.Context, w work) result {
 	if !n.enter(ctx) {
-		return dispatch.Result{Outcome: model.OutcomeNotRun, RetryAfter: time.Second}
+		return result{outcome: model.OutcomeNotRun, retryAfter: time.Second}
 	}
 	defer n.exit()
 	time.Sleep(n.transport.spacer.next())
-	res := dispatch.Result{Outcome: model.OutcomeNotRun}
-	for res.Attempts < naiveAttempts && ctx.Err() == nil {
-		res.Attempts++
-		response, err := n.transport.Send(ctx, n.pick(), r)
+	res := result{outcome: model.OutcomeNotRun}
+	for attempts := 0; attempts < naiveAttempts && ctx.Err() == nil; attempts++ {
+		call := &exchange.Call{Target: targetOf(w.priority, w.time), Fresh: !w.repeatable, Deadline: w.deadline}
+		r := n.transport.Do(ctx, exchange.Target{ID: n.pick().ID}, call)
 		switch {
-		case err == nil && response.Status < 500:
-			res.Outcome, res.Response = model.OutcomeAnswered, response
-			return res
-		case errors.Is(err, dispatch.ErrInterrupted):
-			res.Outcome = model.OutcomeUnknown
-			if !r.Repeatable {
+		case r.Outcome == exchange.Answered && r.Status < http.StatusInternalServerError:
+			return result{outcome: model.OutcomeAnswered, status: r.Status}
+		case r.Outcome == exchange.Unknown, r.Outcome == exchange.Abandoned:
+			res.outcome = model.OutcomeUnknown
+			if !w.repeatable {
 				return res
 			}
 		}
--- a/internal/policytest/policy_test.go
+++ b/internal/policytest/policy_test.go
@@ -204,6 +204,10 @@
 	}
 }
 
+// silentConns is how many kept connections of an instance to an endpoint go
+// silent: more than an instance uses at once in the steady load.
+const silentConns = 3
+
 // Guards against connections that go silent for ever while new ones work.
 func TestPolicySilentConnections(t *testing.T) {
 	s := base("silent-connections")
@@ -211,7 +215,9 @@
 		for i, e := range w.order {
 			e.mu.Lock()
 			for j, n := range w.nodes {
-				e.silent[n.id] = (i+j)%3 == 0
+				if (i+j)%3 == 0 {
+					e.silent[n.id] = silentConns
+				}
 			}
 			e.mu.Unlock()
 		}
--- a/internal/policytest/router.go
+++ b/internal/policytest/router.go
@@ -4,7 +4,8 @@
 	"sync"
 	"time"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/admission"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -26,7 +27,7 @@
 	from, to time.Time
 }
 
-// router is the fake dispatch.Router of one instance.
+// router is the fake admission.Router of one instance.
 type router struct {
 	all      *slots
 	region   model.Region
@@ -50,9 +51,9 @@
 	return r
 }
 
-// Take implements dispatch.Router: an own slot, then one from the pool of the
+// Take implements admission.Router: an own slot, then one from the pool of the
 // own region, then of the others.
-func (r *router) Take(now time.Time, n dispatch.Need) (dispatch.Slot, error) {
+func (r *router) Take(now time.Time, n forward.Need) (forward.Slot, error) {
 	r.all.mu.Lock()
 	defer r.all.mu.Unlock()
 	if r.ownFree > 0 && r.open(r.region) && !contains(n.Exclude, r.region) {
@@ -68,10 +69,10 @@
 		}
 	}
 	r.wants = true
-	return nil, dispatch.ErrNoSlot
+	return nil, admission.ErrNoSlot
 }
 
-func (r *router) borrow(now time.Time, n dispatch.Need, g model.Region) dispatch.Slot {
+func (r *router) borrow(now time.Time, n forward.Need, g model.Region) forward.Slot {
 	if contains(n.Exclude, g) || r.all.free[g] == 0 || !r.open(g) {
 		return nil
 	}
@@ -80,7 +81,7 @@
 	return &slot{router: r, region: g, priority: n.Priority, taken: now}
 }
 
-// Slots implements dispatch.Router.
+// Slots implements admission.Router.
 func (r *router) Slots(time.Time, model.Service) int {
 	r.all.mu.Lock()
 	defer r.all.mu.Unlock()
@@ -98,7 +99,7 @@
 
 func (r *router) open(g model.Region) bool { return r.usable == nil || r.usable(g) }
 
-// Freed implements dispatch.Router.
+// Freed implements admission.Router.
 func (r *router) Freed(model.Service) <-chan struct{} { return r.freed }
 
 func (r *router) signal() {
@@ -119,7 +120,7 @@
 
 func (s *slot) Region() model.Region { return s.region }
 
-// Release implements dispatch.Slot.
+// Release implements forward.Slot.
 func (s *slot) Release() {
 	all := s.router.all
 	all.mu.Lock()
@@ -151,7 +152,7 @@
 	}
 }
 
-// ReleaseAt implements dispatch.Slot. No two slots return at the same instant:
+// ReleaseAt implements forward.Slot. No two slots return at the same instant:
 // synctest fires timers of one instant in random order.
 func (s *slot) ReleaseAt(t time.Time) {
 	all := s.router.all
--- a/internal/policytest/world.go
+++ b/internal/policytest/world.go
@@ -6,18 +6,13 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"jujubestile.example/jujubestile/internal/admission"
-	"jujubestile.example/jujubestile/internal/balance"
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
-	"jujubestile.example/jujubestile/internal/retry"
 )
 
 const (
@@ -39,9 +34,28 @@
 	model.PriorityBulk:     4 * time.Second,
 }
 
-// doer is a Dispatcher or the baseline.
+// work is one request of a caller.
+type work struct {
+	priority   model.Priority
+	repeatable bool
+	// time is the service time.
+	time     time.Duration
+	deadline time.Time
+	// repeats is how often the caller has sent it before.
+	repeats int
+}
+
+// result is what a caller is told.
+type result struct {
+	outcome    model.Outcome
+	status     int
+	retryAfter time.Duration
+}
+
+// doer is an instance of the product or of the baseline. The context ends at the
+// deadline.
 type doer interface {
-	Do(ctx context.Context, r *dispatch.Request, c dispatch.Claim) dispatch.Result
+	do(ctx context.Context, w work) result
 }
 
 // load is an offered load of one priority, as a fraction of capacity.
@@ -97,12 +111,10 @@
 
 // node is one entry instance.
 type node struct {
-	id       model.InstanceID
-	do       doer
-	balancer *balance.Balancer
-	naive    *naive
-	product  *dispatch.Dispatcher
-	prober   dispatch.Prober
+	id      model.InstanceID
+	doer    doer
+	naive   *naive
+	product *product
 }
 
 // call is what one caller experienced.
@@ -135,7 +147,7 @@
 				Service: service, Region: region, Domain: model.Domain(domain), Slots: 3 + i/3%3,
 			},
 			from: w.start.Add(w.s.from), to: w.start.Add(w.s.to),
-			silent: map[model.InstanceID]bool{},
+			silent: map[model.InstanceID]int{},
 			busy:   map[model.Priority]time.Duration{},
 		}
 		w.order = append(w.order, e)
@@ -165,17 +177,11 @@
 	rnd := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(i)+1000*w.s.seed, n)) }
 	if w.naive {
 		n := &naive{transport: t, rnd: rnd(1), free: naiveLimit}
-		return &node{id: id, do: n, naive: n}
+		return &node{id: id, doer: n, naive: n}
 	}
-	b := balance.New(balance.Config{Instance: id, Rand: rnd(1), ActiveProbes: true})
-	b.SetInstances(w.start, instances)
-	r.usable = func(g model.Region) bool { return b.UsableIn(service, g) > 0 }
-	a := admission.New(r)
-	a.SetMinimum(w.s.minimum)
-	d := dispatch.New(dispatch.Config{
-		Region: t.region, Admission: &spacedAdmission{a, t.spacer}, Balancer: b, Transport: t, Retry: retry.NewPolicy(rnd(2)),
-	})
-	return &node{id: id, do: d, balancer: b, product: d, prober: t}
+	p := newProduct(id, t, r, rnd)
+	p.admission.SetMinimum(w.s.minimum)
+	return &node{id: id, doer: p, product: p}
 }
 
 // spacer gives the events of an instance that would fall on the same instant
@@ -197,12 +203,12 @@
 // spacedAdmission lets requests that got slots at the same instant go on at
 // different ones.
 type spacedAdmission struct {
-	dispatch.Admission
+	forward.Gate
 	spacer *spacer
 }
 
-func (a *spacedAdmission) Admit(ctx context.Context, n dispatch.Need) (dispatch.Permit, error) {
-	p, err := a.Admission.Admit(ctx, n)
+func (a *spacedAdmission) Admit(ctx context.Context, n forward.Need) (forward.Permit, error) {
+	p, err := a.Gate.Admit(ctx, n)
 	if err == nil {
 		time.Sleep(a.spacer.next())
 	}
@@ -222,7 +228,7 @@
 		n.naive.setEndpoints(l)
 		return
 	}
-	n.balancer.SetEndpoints(time.Now(), l)
+	n.product.roster.SetEndpoints(time.Now(), l)
 }
 
 func (w *world) setEndpoints(l []model.Endpoint) {
@@ -259,10 +265,9 @@
 		time.AfterFunc(e.at, func() { e.do(w) })
 	}
 	go w.sampleLoads(ctx)
-	go w.gossip(ctx)
 	for _, n := range w.nodes {
 		if n.product != nil {
-			go dispatch.RunProbes(ctx, n.balancer, n.prober)
+			go n.product.prober.Run(ctx)
 		}
 	}
 	for i, l := range w.s.loads {
@@ -273,32 +278,10 @@
 	stop()
 	for _, n := range w.nodes {
 		if n.product != nil {
-			n.product.Wait()
-		}
-	}
-	time.Sleep(headerTimeout + 5*time.Second) // slots that return later
-}
-
-// gossipTime is how long news of an ejected endpoint takes to the others.
-const gossipTime = 300 * time.Millisecond
-
-// gossip stands for the news of ejected endpoints that instances exchange.
-func (w *world) gossip(ctx context.Context) {
-	for !w.naive && sleep(ctx, gossipTime) {
-		ejected := map[model.EndpointID]bool{}
-		for _, n := range w.nodes {
-			for _, id := range n.balancer.Ejected() {
-				ejected[id] = true
-			}
-		}
-		for _, n := range w.nodes {
-			for _, e := range w.order {
-				if ejected[e.ID] {
-					n.balancer.Suspect(time.Now(), e.ID)
-				}
-			}
+			n.product.engine.Wait(context.Background())
 		}
 	}
+	time.Sleep(silenceTimeout + 5*time.Second) // slots that return later
 }
 
 func (w *world) sampleLoads(ctx context.Context) {
@@ -320,59 +303,48 @@
 			return
 		}
 		w.callers.Add(1)
-		go w.call(l, work(rnd), rnd.IntN(instances), rnd.Float64())
+		go w.call(l, drawWork(rnd), rnd.IntN(instances), rnd.Float64())
 	}
 }
 
-// work draws a lognormal service time with the mean meanWork.
-func work(rnd *rand.Rand) time.Duration {
+// drawWork draws a lognormal service time with the mean meanWork.
+func drawWork(rnd *rand.Rand) time.Duration {
 	f := math.Exp(workSigma*rnd.NormFloat64() - workSigma*workSigma/2)
 	return time.Duration(f * float64(meanWork))
 }
 
-// claim is a dispatch.Claim whose intent takes one round trip.
-type claim struct{}
-
-func (claim) Intent(ctx context.Context) error {
-	sleep(ctx, intentTime)
-	return ctx.Err()
-}
-
 // call is one caller. Half of the priority 1 work may not be repeated.
-func (w *world) call(l load, work time.Duration, at int, u float64) {
+func (w *world) call(l load, needed time.Duration, at int, u float64) {
 	defer w.callers.Done()
 	p := l.priority
 	begin := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(l.patience, patience[p]))
 	defer cancel()
 	w.deposit()
-	r := &dispatch.Request{
-		Service: service, Priority: p, Method: http.MethodGet,
-		Repeatable: p != model.PriorityCritical || u < 0.5,
-		Path:       "/" + strconv.Itoa(int(work)),
-	}
-	var res dispatch.Result
+	deadline, _ := ctx.Deadline()
+	asked := work{priority: p, repeatable: p != model.PriorityCritical || u < 0.5, time: needed, deadline: deadline}
+	var res result
 	for n := range callerRetry {
-		r.Attempt = n
-		res = w.nodes[(at+n)%instances].do.Do(ctx, r, claim{})
-		if !w.again(ctx, r, res, u) {
+		asked.repeats = n
+		res = w.nodes[(at+n)%instances].doer.do(ctx, asked)
+		if !w.again(ctx, asked, res, u) {
 			break
 		}
 	}
 	w.record(call{
-		at: begin.Sub(w.start), priority: p, work: work, latency: time.Since(begin),
-		ok: res.Outcome == model.OutcomeAnswered && res.Response.Status < 500,
+		at: begin.Sub(w.start), priority: p, work: needed, latency: time.Since(begin),
+		ok: res.outcome == model.OutcomeAnswered && res.status < 500,
 	})
 }
 
 // again reports whether a caller repeats a request that was not run. Callers
 // of the product obey Retry-After and a budget; those of the baseline repeat
 // whatever is safe after 10 ms.
-func (w *world) again(ctx context.Context, r *dispatch.Request, res dispatch.Result, u float64) bool {
-	if ctx.Err() != nil || res.Outcome == model.OutcomeAnswered {
+func (w *world) again(ctx context.Context, asked work, res result, u float64) bool {
+	if ctx.Err() != nil || res.outcome == model.OutcomeAnswered {
 		return false
 	}
-	if res.Outcome == model.OutcomeUnknown && !r.Repeatable {
+	if res.outcome == model.OutcomeUnknown && !asked.repeatable {
 		return false
 	}
 	// Callers that got their results at the same instant go on one after the
@@ -384,11 +356,10 @@
 	if !sleep(ctx, jitter) {
 		return false
 	}
-	left, _ := ctx.Deadline()
-	if time.Until(left) <= res.RetryAfter || !w.withdraw() {
+	if time.Until(asked.deadline) <= res.retryAfter || !w.withdraw() {
 		return false
 	}
-	return sleep(ctx, max(res.RetryAfter, 10*time.Millisecond))
+	return sleep(ctx, max(res.retryAfter, 10*time.Millisecond))
 }
 
 func (w *world) deposit() {
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -203,7 +203,7 @@
 	}
 	p.log = log
 	p.cmd = exec.Command(binary, "run", "-config", p.config)
-	p.cmd.Stderr = log
+	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -19,20 +19,18 @@
 	"sync"
 	"time"
 
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
 // Verdict says how a request may run.
-type Verdict uint8
+type Verdict = forward.Verdict
 
+// The verdicts.
 const (
-	// Allow sets no condition.
-	Allow Verdict = iota
-	// Isolate lets the request run only at an endpoint with no other request
-	// of this instance.
-	Isolate
-	// Refuse lets the request not run.
-	Refuse
+	Allow   = forward.VerdictAllow
+	Isolate = forward.VerdictIsolate
+	Refuse  = forward.VerdictRefuse
 )
 
 const (
@@ -123,6 +121,17 @@
 	return q.verdict(fingerprint, q.now())
 }
 
+// Decide returns the verdict on a request that is to run now. One that is about
+// to be refused is held back until the other instances' reports of the last
+// crash have arrived; its caller may send it again.
+func (q *Quarantine) Decide(fingerprint uint64) Verdict {
+	v := q.Check(fingerprint)
+	if v == Isolate && !q.MayStart(fingerprint, "") {
+		return Refuse
+	}
+	return v
+}
+
 func (q *Quarantine) verdict(fp uint64, now time.Time) Verdict {
 	s, ok := q.suspects[fp]
 	if !ok || now.Sub(s.last) > Retention {
--- a/internal/route/link.go
+++ b/internal/route/link.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
 )
@@ -62,7 +62,7 @@
 }
 
 // has reports whether the request fits the budget.
-func (b *linkBucket) has(now time.Time, part float64, n dispatch.Need) bool {
+func (b *linkBucket) has(now time.Time, part float64, n forward.Need) bool {
 	b.fill(now, part)
 	burst := b.burst()
 	if burst <= 0 {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,5 +1,5 @@
 // Package route chooses the region of a request and takes a slot there. It
-// implements dispatch.Router.
+// implements admission.Router.
 //
 // A service with weights in the rules goes to its regions in their ratio. Any
 // other service goes to the instance's own region, and to another one only if
@@ -15,8 +15,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"jujubestile.example/jujubestile/internal/admission"
 	"jujubestile.example/jujubestile/internal/capacity"
-	"jujubestile.example/jujubestile/internal/dispatch"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
 	"jujubestile.example/jujubestile/internal/shift"
@@ -39,7 +39,7 @@
 	HasEndpoints func(model.Service, model.Region) bool
 }
 
-// Router implements dispatch.Router. Its methods may be called concurrently.
+// Router implements admission.Router. Its methods may be called concurrently.
 type Router struct {
 	cfg Config
 
@@ -67,7 +67,7 @@
 	waiting bool
 }
 
-var _ dispatch.Router = (*Router)(nil)
+var _ admission.Router = (*Router)(nil)
 
 // New returns a router without rules. It gives no slots before SetRules.
 func New(cfg Config) *Router {
@@ -226,7 +226,7 @@
 	}
 }
 
-// Slots is part of dispatch.Router.
+// Slots is part of admission.Router.
 func (r *Router) Slots(now time.Time, name model.Service) int {
 	r.mu.Lock()
 	s := r.services[name]
@@ -248,7 +248,7 @@
 	return r.cfg.HasEndpoints == nil || r.cfg.HasEndpoints(s, region)
 }
 
-// Freed is part of dispatch.Router.
+// Freed is part of admission.Router.
 func (r *Router) Freed(name model.Service) <-chan struct{} {
 	return r.cfg.Signals.channel(name)
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -11,8 +11,9 @@
 
 	_ "jujubestile.example/jujubestile/internal/fixedseed"
 
+	"jujubestile.example/jujubestile/internal/admission"
 	"jujubestile.example/jujubestile/internal/capacity"
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
 	"jujubestile.example/jujubestile/internal/shift"
@@ -115,8 +116,8 @@
 	}
 }
 
-func (b *bench) need() dispatch.Need {
-	return dispatch.Need{Service: svc, Priority: model.PriorityNormal, Deadline: b.now.Add(time.Second), Bytes: 1000}
+func (b *bench) need() forward.Need {
+	return forward.Need{Service: svc, Priority: model.PriorityNormal, Deadline: b.now.Add(time.Second), Bytes: 1000}
 }
 
 // Guards against a choice by chance or with a burst after a region was left
@@ -149,7 +150,7 @@
 // a slot, to a tried, drained or failed one, and against a wrong reason.
 func TestOwnRegionFirstThenSpill(t *testing.T) {
 	b := newBench(t, testRules(1, "a", "b"), 2)
-	var slots []dispatch.Slot
+	var slots []forward.Slot
 	for i := range 6 {
 		s, err := b.router.Take(b.now, b.need())
 		if err != nil {
@@ -160,7 +161,7 @@
 		}
 		slots = append(slots, s)
 	}
-	if _, err := b.router.Take(b.now, b.need()); !errors.Is(err, dispatch.ErrNoSlot) {
+	if _, err := b.router.Take(b.now, b.need()); !errors.Is(err, admission.ErrNoSlot) {
 		t.Errorf("with no slot: %v", err)
 	}
 	freed := b.router.Freed(svc)
@@ -172,11 +173,11 @@
 	}
 	n := b.need()
 	n.Exclude = []model.Region{"b"}
-	if _, err := b.router.Take(b.now, n); !errors.Is(err, dispatch.ErrNoSlot) {
+	if _, err := b.router.Take(b.now, n); !errors.Is(err, admission.ErrNoSlot) {
 		t.Errorf("with b tried: %v", err)
 	}
 	b.router.SetLost(b.now, "b", true)
-	if _, err := b.router.Take(b.now, b.need()); !errors.Is(err, dispatch.ErrNoSlot) {
+	if _, err := b.router.Take(b.now, b.need()); !errors.Is(err, admission.ErrNoSlot) {
 		t.Errorf("with b failed: %v", err)
 	}
 	b.router.SetLost(b.now, "b", false)
@@ -201,7 +202,7 @@
 		_, err := b.router.Take(b.now, b.need())
 		if err == nil {
 			got++
-		} else if !errors.Is(err, dispatch.ErrShiftCapped) {
+		} else if !errors.Is(err, admission.ErrShiftCapped) {
 			t.Errorf("spill: %v", err)
 		}
 		b.now = b.now.Add(time.Millisecond)
--- a/internal/route/take.go
+++ b/internal/route/take.go
@@ -4,25 +4,26 @@
 	"slices"
 	"time"
 
+	"jujubestile.example/jujubestile/internal/admission"
 	"jujubestile.example/jujubestile/internal/capacity"
-	"jujubestile.example/jujubestile/internal/dispatch"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
 // maxRegions bounds the regions considered without an allocation.
 const maxRegions = 16
 
-// Take is part of dispatch.Router.
-func (r *Router) Take(now time.Time, n dispatch.Need) (dispatch.Slot, error) {
+// Take is part of admission.Router.
+func (r *Router) Take(now time.Time, n forward.Need) (forward.Slot, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.services[n.Service]
 	if s == nil {
-		return nil, dispatch.ErrNoSlot
+		return nil, admission.ErrNoSlot
 	}
 	if !r.ready {
 		s.waiting = true
-		return nil, dispatch.ErrShiftCapped
+		return nil, admission.ErrShiftCapped
 	}
 	var buf [maxRegions]model.Region
 	a := attempt{r: r, s: s, now: now, need: n, id: requestID(n)}
@@ -32,13 +33,13 @@
 
 // requestID tells requests of a service apart. Deadlines have a resolution of
 // a nanosecond and stay the same while a request waits.
-func requestID(n dispatch.Need) uint64 {
+func requestID(n forward.Need) uint64 {
 	return uint64(n.Deadline.UnixNano())
 }
 
 // candidates appends the regions that the request may go to, the first choice
 // first.
-func (r *Router) candidates(to []model.Region, s *service, n dispatch.Need) []model.Region {
+func (r *Router) candidates(to []model.Region, s *service, n forward.Need) []model.Region {
 	if s.weights != nil {
 		return s.weights.order(to, func(region model.Region) bool { return r.eligible(region, n) })
 	}
@@ -50,7 +51,7 @@
 	return to
 }
 
-func (r *Router) eligible(region model.Region, n dispatch.Need) bool {
+func (r *Router) eligible(region model.Region, n forward.Need) bool {
 	return !r.lost[region] && !r.drained[region] && !slices.Contains(n.Exclude, region) && r.hasEndpoints(n.Service, region)
 }
 
@@ -59,7 +60,7 @@
 	r          *Router
 	s          *service
 	now        time.Time
-	need       dispatch.Need
+	need       forward.Need
 	id         uint64
 	candidates []model.Region
 	// allowed counts regions that the cap allows; cappedFree means that the
@@ -68,7 +69,7 @@
 	capped, cappedFree bool
 }
 
-func (a *attempt) run() (dispatch.Slot, error) {
+func (a *attempt) run() (forward.Slot, error) {
 	for _, region := range a.candidates {
 		if slot := a.try(region); slot != nil {
 			return slot, nil
@@ -79,13 +80,13 @@
 		a.r.cfg.Limiter.Refused(a.now, a.need.Service, a.id)
 	}
 	if a.cappedFree || a.capped && a.allowed == 0 {
-		return nil, dispatch.ErrShiftCapped
+		return nil, admission.ErrShiftCapped
 	}
-	return nil, dispatch.ErrNoSlot
+	return nil, admission.ErrNoSlot
 }
 
 // try takes a slot in the region, or returns nil.
-func (a *attempt) try(region model.Region) dispatch.Slot {
+func (a *attempt) try(region model.Region) forward.Slot {
 	c := a.r.cfg.Capacity
 	k := capacity.Key{Region: region, Service: a.need.Service}
 	if !a.r.cfg.Limiter.Allow(a.now, a.need.Service, region, a.id) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -85,9 +85,9 @@
 	in.client = exchange.New(exchange.Default(), platform.Endpoint{})
 	in.budget = forward.NewBudget(forward.BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 		Window: time.Duration(s.Bounds.RetryWindow)})
-	in.handler = forward.New(forward.Config{Log: log, Protocol: platform.Caller{}, Table: in.table,
+	in.handler = forward.New(forward.Config{Protocol: platform.Caller{}, EngineConfig: forward.EngineConfig{Log: log, Table: in.table,
 		Transport: in.client, Budget: in.budget, Rand: newRand(), State: in.state.Load,
-		Instances: in.instanceCount, Reroute: in.endpointDown})
+		Instances: in.instanceCount, Reroute: in.endpointDown}})
 	in.peers = peer.NewPool(in.resolve, peer.PoolOptions{})
 	return in
 }
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -24,6 +24,9 @@
 	Allows func(model.Region) bool
 	// Tried are endpoints that are not to be used again.
 	Tried []model.EndpointID
+	// Alone asks for an endpoint without another request of this instance,
+	// which gets no other one until this one has ended.
+	Alone bool
 }
 
 // Reason says why a request was refused.
@@ -71,6 +74,9 @@
 	at    time.Time
 }
 
+// Distance is the round trip to the endpoint.
+func (p *Pick) Distance() time.Duration { return p.rtt }
+
 // Choice is the outcome of a decision: a pick, or a reason and when to return.
 type Choice struct {
 	Pick       *Pick
@@ -96,6 +102,9 @@
 	// balancePrice is the price of a full endpoint against an idle one, so
 	// that equals share the load.
 	balancePrice = 4 * time.Millisecond
+	// jitterShare times the time of one place in an endpoint's queue is the
+	// random part of a price where instances know little of each other.
+	jitterShare = 0.3
 	// deadlineShare is the part of the remaining time that an expected answer
 	// may take.
 	deadlineShare = 0.95
@@ -175,7 +184,7 @@
 
 // allowed reports whether the request may go to the endpoint at all.
 func (t *Table) allowed(e *endpoint, r Request) bool {
-	if e.Leaving || t.evacuated[e.Domain] || !r.Allows(e.Region) {
+	if e.Leaving || t.evacuated[e.Domain] || !r.Allows(e.Region) || e.alone || (r.Alone && e.own > 0) {
 		return false
 	}
 	for _, id := range r.Tried {
@@ -224,6 +233,13 @@
 	wait := float64(waiting) / float64(e.Slots) * s.work.warm * slow
 	c.expected = float64(c.rtt) + wait + c.work*slow
 	c.cost = c.expected + float64(balancePrice)*float64(c.load)/float64(e.Slots)
+	if e.surplus != nil && e.surplus.expected(e.Slots, now) > 0 {
+		// Instances that know little of each other must not all choose the same.
+		c.cost += jitterShare * t.cfg.Rand.Float64() * s.work.warm / float64(e.Slots)
+		if e.justFreed(now) {
+			c.cost -= s.work.warm
+		}
+	}
 	if !c.warm {
 		// A miss takes slots from others, the more so the busier the region.
 		c.cost += (s.work.cold - s.work.warm) * busy
@@ -349,6 +365,8 @@
 
 func (t *Table) begin(c, next *candidate, r Request, now time.Time) *Pick {
 	c.e.own++
+	c.e.alone = r.Alone
+	c.e.freedAt = time.Time{}
 	t.shift.count(now, c.remote)
 	if r.Object != 0 {
 		t.sent(c.e, r.Object)
--- /dev/null
+++ b/internal/steering/cold_test.go
@@ -0,0 +1,57 @@
+package steering
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"jujubestile.example/jujubestile/internal/desired"
+	_ "jujubestile.example/jujubestile/internal/fixedseed" // Property tests repeat.
+	"jujubestile.example/jujubestile/internal/model"
+)
+
+// the tolerated rate; others send nothing.
+func TestColdEndpointGetsItsRateFromOneInstance(t *testing.T) {
+	const instances = 8
+	var members []Instance
+	for i := range instances {
+		members = append(members, Instance{model.InstanceID(fmt.Sprint("i", i)), "a"})
+	}
+	sent := 0
+	senders := map[int]bool{}
+	for i := range instances {
+		tb := New(Config{Self: members[i].ID, Domain: "a1", Region: "a", Regions: regions, MaxShift: 0.15, Rand: rand.New(rand.NewPCG(1, 2))})
+		tb.SetServices(map[model.Service]desired.Service{"s": {Name: "s", ColdRate: 2}})
+		tb.SetInstances(members)
+		e := ep("e", "a1", 3)
+		e.ColdFor = 3 * time.Second
+		tb.Put(e, epoch)
+		for ms := range 1000 {
+			now := epoch.Add(time.Duration(ms) * time.Millisecond)
+			if c := tb.Choose(now, req(1)); c.Pick != nil {
+				sent++
+				senders[i] = true
+				tb.Finish(now.Add(time.Millisecond), c.Pick, Report{Result: Answered})
+			}
+		}
+	}
+	if len(senders) != 1 || sent == 0 || sent > 3 {
+		t.Fatalf("%d requests in a second from instances %v; the endpoint tolerates 2", sent, senders)
+	}
+}
+
+// A restarted endpoint is cold even if its entry does not say so.
+func TestRestartIsCold(t *testing.T) {
+	tb := newTable()
+	e := ep("e", "a1", 3)
+	e.Started = 1
+	tb.Put(e, epoch)
+	e.Started = 2
+	if change := tb.Put(e, epoch.Add(time.Second)); change != "restarted" {
+		t.Fatalf("change %q, want restarted", change)
+	}
+	if c := tb.Counts(epoch.Add(time.Second)); c.Cold != 1 {
+		t.Fatalf("%d cold endpoints, want 1", c.Cold)
+	}
+}
--- a/internal/steering/endpoint.go
+++ b/internal/steering/endpoint.go
@@ -23,7 +23,8 @@
 	Service model.Service
 	Addr    netip.AddrPort
 	Domain  model.Domain
-	// Region is derived from Domain when the endpoint is added.
+	// Region is derived from Domain when the endpoint is added, if the table
+	// knows the domain.
 	Region model.Region
 	// Slots is how many requests it runs at once.
 	Slots int
@@ -44,8 +45,15 @@
 
 	// own and others are requests in flight from this and other instances.
 	own, others int
+	// alone is set while a request runs that tolerates no other one.
+	alone bool
 	// unexplained is load that the endpoint reported beyond these.
-	unexplained   int
+	unexplained int
+	// surplus is that of the service's endpoints; nil if instances tell each
+	// other their requests.
+	surplus *surplus
+	// freedAt is when it last answered, until it gets the next request.
+	freedAt       time.Time
 	unexplainedAt time.Time
 
 	coldUntil time.Time
@@ -77,19 +85,95 @@
 // load is the number of requests that the endpoint has, from all instances.
 func (e *endpoint) load(now time.Time) int {
 	n := e.own + e.others
-	if e.unexplained > 0 && now.Sub(e.unexplainedAt) < unexplainedAge {
-		n += e.unexplained
+	age := now.Sub(e.unexplainedAt)
+	switch {
+	case e.surplus != nil:
+		return n + e.untold(age, now)
+	case age < unexplainedAge:
+		return n + e.unexplained
 	}
 	return n
 }
 
+// untold is the load of other instances that do not tell it, by reports.
+func (e *endpoint) untold(age time.Duration, now time.Time) int {
+	switch {
+	case age <= freedFor:
+		return e.unexplained
+	case age < unexplainedAge:
+		return refilled(e.unexplained, e.Slots)
+	}
+	return e.surplus.expected(e.Slots, now)
+}
+
+// refilled is the load some time after a report. The report came with an answer
+// that had just freed a slot; others fill it, the sooner the busier they are.
+func refilled(load, slots int) int {
+	others := max(slots-1, 1)
+	return (load*slots + others/2) / others // Rounded to the nearest.
+}
+
+// surplus is the mean load that endpoints of a service report beyond what is
+// known, a slot. It stands for an endpoint whose last report is old: where
+// instances do not tell each other their requests, it is the load of the others.
+// Reports come with answers, when a slot has just become free: a full endpoint
+// reports one request less than it has on average.
+type surplus struct {
+	mean float64
+	at   time.Time
+	// shown is the mean at shownAt, which is kept for a while: a decision asks
+	// for each endpoint.
+	shown   float64
+	shownAt time.Time
+}
+
+const (
+	// surplusWeight is the weight of one report.
+	surplusWeight = 0.05
+	// surplusMemory is the time in which the mean loses two thirds without
+	// reports.
+	surplusMemory = time.Second
+	// surplusKept is how long a computed mean is used.
+	surplusKept = 10 * time.Millisecond
+)
+
+func (s *surplus) reported(beyond, slots int, now time.Time) {
+	s.mean = s.now(now)
+	s.mean += surplusWeight * (float64(beyond)/float64(max(slots-1, 1)) - s.mean)
+	s.at = now
+}
+
+func (s *surplus) now(now time.Time) float64 {
+	return s.mean * decay(max(now.Sub(s.at), 0), surplusMemory)
+}
+
+func (s *surplus) expected(slots int, now time.Time) int {
+	if now.Sub(s.shownAt) > surplusKept {
+		s.shown, s.shownAt = s.now(now), now
+	}
+	return max(int(s.shown*float64(slots)+0.5), 0)
+}
+
 // reported takes an endpoint's own report of its load. The report includes
 // the request that it answered.
 func (e *endpoint) reported(total int, now time.Time) {
-	e.unexplained = max(0, total-e.own-e.others-1)
+	beyond := total - e.own - e.others - 1
+	if e.surplus != nil {
+		e.surplus.reported(beyond, e.Slots, now)
+	}
+	e.unexplained = max(0, beyond)
 	e.unexplainedAt = now
 }
 
+// freedFor is how long a slot is most likely still free that an answer has
+// returned: waiting requests get it within that time.
+const freedFor = 500 * time.Microsecond
+
+// justFreed reports whether this instance is the first to know of a free slot.
+func (e *endpoint) justFreed(now time.Time) bool {
+	return now.Sub(e.freedAt) <= freedFor && e.load(now) < e.Slots
+}
+
 const (
 	// slowWeight is the weight of one measurement of work.
 	slowWeight = 0.3
--- a/internal/steering/finish.go
+++ b/internal/steering/finish.go
@@ -20,6 +20,8 @@
 	Mistaken
 	// Abandoned means that this side ended the attempt.
 	Abandoned
+	// NotMade means that the attempt was given up before it began.
+	NotMade
 )
 
 // Report is what an attempt has shown.
@@ -37,12 +39,14 @@
 	defer t.mu.Unlock()
 	e := p.e
 	e.own--
+	e.alone = false
 	if r.HasLoad {
 		e.reported(r.Load, now)
 	}
 	switch r.Result {
 	case Answered:
 		e.health.succeeded(now)
+		e.freedAt = now
 		t.learn(p, now)
 	case Failed:
 		e.health.failed(now)
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -19,7 +19,10 @@
 	// MaxShift is the largest change of the share of requests that leave
 	// their region, between two windows of two seconds.
 	MaxShift float64
-	Rand     *rand.Rand
+	// Untold means that instances do not tell each other their requests, so
+	// that endpoints' reports have to stand for those of the others.
+	Untold bool
+	Rand   *rand.Rand
 }
 
 // Table holds all endpoints and what is known of them. It is safe for
@@ -53,6 +56,7 @@
 	work      work
 	keeps     keeps
 	ranks     rankUse
+	surplus   surplus
 	// disturbed says when a region last lost an endpoint without a planned
 	// departure.
 	disturbed map[model.Region]time.Time
@@ -122,7 +126,9 @@
 func (t *Table) Put(e Endpoint, now time.Time) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e.Region = t.cfg.Regions[e.Domain]
+	if region, ok := t.cfg.Regions[e.Domain]; ok {
+		e.Region = region
+	}
 	old := t.endpoints[e.ID]
 	if old != nil && (old.Addr != e.Addr || old.Service != e.Service || old.Started != e.Started) {
 		t.drop(old)
@@ -173,6 +179,9 @@
 		n.others += loads[n.wire]
 	}
 	s := t.service(e.Service)
+	if t.cfg.Untold {
+		n.surplus = &s.surplus
+	}
 	s.endpoints = append(s.endpoints, n)
 	return n
 }
@@ -248,6 +257,24 @@
 	return e.Endpoint, true
 }
 
+// Usable returns the number of endpoints of a service in a region that requests
+// may be sent to.
+func (t *Table) Usable(name model.Service, region model.Region, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	if s == nil {
+		return 0
+	}
+	n := 0
+	for _, e := range s.endpoints {
+		if e.Region == region && !e.Leaving && !t.evacuated[e.Domain] && !e.health.down {
+			n++
+		}
+	}
+	return n
+}
+
 // Probe is a health probe that is due.
 type Probe struct {
 	Endpoint
--- a/internal/transport/orca.go
+++ b/internal/wire/load.go
@@ -1,4 +1,4 @@
-package transport
+package wire
 
 import (
 	"encoding/json"
@@ -15,9 +15,13 @@
 // maxLoadBytes bounds a load report.
 const maxLoadBytes = 4 << 10
 
+// maxUtilization bounds a report: requests that wait count as load above 1.
+const maxUtilization = 10
+
 // Utilization returns the load in a response's report, 0 being idle and 1
 // full, or -1 without a valid report. The application's own figure precedes
-// that of the processor. Values above 1 are reported as 1.
+// that of the processor. Requests that wait make it larger than 1, at most
+// maxUtilization.
 func Utilization(h http.Header) float64 {
 	form, report, ok := strings.Cut(strings.TrimSpace(h.Get(LoadHeader)), " ")
 	if !ok || len(report) > maxLoadBytes {
@@ -32,7 +36,7 @@
 	}
 	for _, name := range []string{"application_utilization", "cpu_utilization"} {
 		if v, ok := values[name]; ok && v >= 0 && !math.IsNaN(v) {
-			return min(v, 1)
+			return min(v, maxUtilization)
 		}
 	}
 	return -1
