serve recognises requests that crash endpoints; outages count from the last answer

Crashing requests. Cause: only run had the quarantine; on the platform a request that crashes each endpoint that runs it went on (12 of 12 endpoints in TestCrashingRequest). A broken connection alone proves nothing there: endpoints lose single answers and live. Ruled out: taking every broken connection as a crash (answers that are lost would quarantine requests); waiting for the endpoint's entry alone (it follows seconds later). Change: a broken connection counts once the endpoint does not accept a connection, or its entry goes or shows a restart, within 3 s; the reports go to all instances. Refusals are 503 without Retry-After, as the request has not run and will not. After: 3 of 12 endpoints; lost answers are no crashes (TestLostAnswersAreNoCrashes).

Outages of the store. Cause: an outage was measured from its detection, up to 1.5 s late, so that entries could lapse in one that counted as short. Change: it counts from the last answer, a comparison of revisions included; over 1 s entries may have lapsed.

Far messages. Cause: while the store did not list an instance it sent full messages to all others each 2 s; 300 instances that start together sent 90,000 and as many answers. Change: to the own region at first, to all after 3 s, then ever less often. Announcements that fail are repeated ever later. Whole copies of the store between instances are packed (54 KB of entries in 6).

Tried and not kept: starting instances wait for the copy of their region's seed instead of listing the store.

--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -27,7 +27,8 @@
 	// with each failure.
 	RetryMin, RetryMax time.Duration
 	// Lost and Regained are told about the source's availability. Regained
-	// comes before the changes that were missed.
+	// comes before the changes that were missed; the outage counts from the
+	// last answer.
 	Lost     func(error)
 	Regained func(outage time.Duration)
 
@@ -57,7 +58,7 @@
 		}
 		f.Copy.setWatching(false)
 		if f.lostAt.IsZero() {
-			f.lostAt = time.Now()
+			f.lostAt = f.Copy.lastAnswer(time.Now())
 			f.Lost(err)
 		}
 		sleep(ctx, pause)
@@ -165,6 +166,7 @@
 			c.cancel(err)
 			return
 		}
+		c.follower.Copy.answered()
 		if !c.reached(now) {
 			sleep(ctx, settle)
 		}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -191,6 +191,16 @@
 	}
 }
 
+// lastAnswer is when the source last answered, or now if it never has.
+func (c *Copy) lastAnswer(now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.confirmed.IsZero() {
+		return now
+	}
+	return c.confirmed
+}
+
 func (c *Copy) answered() {
 	c.mu.Lock()
 	c.confirmed = time.Now()
--- a/internal/serve/changes.go
+++ b/internal/serve/changes.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/fleet"
 	"jujubestile.example/jujubestile/internal/mirror"
@@ -23,10 +25,10 @@
 // not reach back so far.
 type Changes struct {
 	Events []mirror.Event
-	// Whole means that Items is a whole copy.
-	Whole bool
-	Items []mirror.Item
-	At    mirror.Revision
+	// Whole means that Packed is a whole copy.
+	Whole  bool
+	Packed []byte
+	At     mirror.Revision
 	// Grace is how much longer missing endpoint entries may come back.
 	Grace   time.Duration
 	Members []fleet.Presence
@@ -37,7 +39,10 @@
 	var covered bool
 	if reply.Events, reply.At, covered = s.in.copy.Since(args.After); !covered && reply.At > args.After {
 		reply.Whole = true
-		reply.Items, reply.At = s.in.copy.Snapshot()
+		var err error
+		if reply.Packed, reply.At, err = s.in.packed.of(s.in.copy); err != nil {
+			return errors.Trace(err)
+		}
 	}
 	reply.Events = withoutObjects(reply.Events)
 	s.in.applying.Lock()
@@ -121,7 +126,12 @@
 	}
 	in.counters.snapshots.Add(1)
 	if c.Whole {
-		in.copy.Replace(c.Items, c.At)
+		items, err := unpack(c.Packed)
+		if err != nil {
+			in.log.Log(events.ChangesMissed).Str("from", string(from)).Err(err).Send()
+			return false
+		}
+		in.copy.Replace(items, c.At)
 	} else {
 		in.copy.Apply(c.Events, c.At)
 	}
--- a/internal/serve/heartbeat.go
+++ b/internal/serve/heartbeat.go
@@ -22,18 +22,28 @@
 	// wholeEvery is the time between two reports with all loads.
 	wholeEvery = time.Second
 	// nearFullEvery is the time between two full messages to the own failure
-	// domain, farFullEvery that to all while the store does not list the
-	// instance.
-	nearFullEvery = 3 * time.Second
-	farFullEvery  = 2 * time.Second
+	// domain, regionFullEvery that to the own region while the store does not
+	// list the instance.
+	nearFullEvery   = 3 * time.Second
+	regionFullEvery = 2 * time.Second
+	// farFullFirst and farFullMost bound the time to the next full message to
+	// all regions while the store does not list the instance; it doubles. The
+	// store lists an instance within a second or two, also if all start, and
+	// messages of all to all are too many.
+	farFullFirst = 3 * time.Second
+	farFullMost  = 24 * time.Second
 )
 
 // heartbeats is the state of the loop that reports to other instances.
 type heartbeats struct {
 	last steering.Loads
-	// near, nearFull and farFull are the times of the last messages.
-	near, nearFull, farFull time.Time
-	domain, region          groupBeat
+	// near, nearFull and regionFull are the times of the last messages.
+	near, nearFull, regionFull time.Time
+	// farFull is the time of the next message to all, farPause that to the one
+	// after it.
+	farFull        time.Time
+	farPause       time.Duration
+	domain, region groupBeat
 }
 
 // groupBeat is the state of the reports on one group.
@@ -47,7 +57,8 @@
 func (in *Instance) sendHeartbeats(ctx context.Context) {
 	ticker := time.NewTicker(loadEvery)
 	defer ticker.Stop()
-	var hb heartbeats
+	hb := heartbeats{farFull: in.started.Add(farFullFirst), farPause: farFullFirst}
+	in.greetSeeds()
 	for {
 		select {
 		case <-ctx.Done():
@@ -91,21 +102,40 @@
 	return every * time.Duration(1+others/smallDomain)
 }
 
-// beatFar tells all others about this instance, at long intervals, as long as
-// the store does not list it. Others are known from the store's list, and
-// their state from reports.
+// beatFar tells other failure domains about this instance, as long as the store
+// does not list it. Others are known from the store's list, and their state from
+// reports.
 func (in *Instance) beatFar(hb *heartbeats, now time.Time) {
-	if in.announced.Load() || now.Sub(hb.farFull) < farFullEvery {
+	if in.announced.Load() {
 		return
 	}
-	hb.farFull = now
 	known := in.members.Known()
-	in.sendFull(known, fleet.News{}, true)
+	switch {
+	case !now.Before(hb.farFull):
+		hb.farPause = min(2*hb.farPause, farFullMost)
+		hb.farFull, hb.regionFull = now.Add(hb.farPause), now
+		in.sendFull(known, fleet.News{}, false)
+	case now.Sub(hb.regionFull) >= regionFullEvery:
+		hb.regionFull = now
+		in.sendFull(inRegion(known, in.settings.Region), fleet.News{}, false)
+	default:
+		return
+	}
 	if len(known) == 0 {
 		in.greetSeeds()
 	}
 }
 
+func inRegion(all []fleet.Presence, region model.Region) []fleet.Presence {
+	var out []fleet.Presence
+	for _, p := range all {
+		if p.Region == region {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // beatDomain reports on the own failure domain to the others of the region, if
 // this instance speaks for it.
 func (in *Instance) beatDomain(g *groupBeat, others int, urgent bool, now time.Time) {
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -136,6 +136,7 @@
 		in.memberChanges(in.members.Tick(now))
 		in.budget.SetInstances(in.instanceCount())
 		in.expireGroups(now)
+		in.crashes.expire(now)
 		if now.Sub(in.started) < startTime {
 			in.setStartShare()
 		}
--- a/internal/serve/objects.go
+++ b/internal/serve/objects.go
@@ -81,3 +81,15 @@
 	}
 	return out
 }
+
+// itemsWithoutObjects leaves out the same of a copy: instances that do not watch
+// the store have old records of it.
+func itemsWithoutObjects(items []mirror.Item) []mirror.Item {
+	out := items[:0:0]
+	for _, it := range items {
+		if platform.RecordOf(it.Key).Objects == "" {
+			out = append(out, it)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/serve/packed.go
@@ -0,0 +1,68 @@
+package serve
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/gob"
+	"io"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/mirror"
+)
+
+// maxPackedItems bounds the unpacked size of a copy: 20,000 entries of endpoints
+// of 400 bytes.
+const maxPackedItems = 8 << 20
+
+// pack compresses the items of a copy. Entries of endpoints are alike and shrink
+// to about a sixth.
+func pack(items []mirror.Item) ([]byte, error) {
+	var b bytes.Buffer
+	z, err := flate.NewWriter(&b, flate.DefaultCompression)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := gob.NewEncoder(z).Encode(items); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := z.Close(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return b.Bytes(), nil
+}
+
+func unpack(packed []byte) ([]mirror.Item, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	z := flate.NewReader(bytes.NewReader(packed))
+	var items []mirror.Item
+	err := gob.NewDecoder(io.LimitReader(z, maxPackedItems)).Decode(&items)
+	return items, errors.Annotate(err, "copy of the store")
+}
+
+// packedCopy keeps the last packed copy, for which several instances ask after an
+// outage of the store.
+type packedCopy struct {
+	mu    sync.Mutex
+	at    mirror.Revision
+	bytes []byte
+}
+
+// of returns the packed copy and its revision.
+func (p *packedCopy) of(c *mirror.Copy) ([]byte, mirror.Revision, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	items, at := c.Snapshot()
+	if p.bytes != nil && p.at == at {
+		return p.bytes, at, nil
+	}
+	b, err := pack(itemsWithoutObjects(items))
+	if err != nil {
+		return nil, 0, err
+	}
+	p.bytes, p.at = b, at
+	return b, at, nil
+}
--- a/internal/serve/probe.go
+++ b/internal/serve/probe.go
@@ -19,6 +19,7 @@
 // endpointDown notes that an endpoint cannot be reached.
 func (in *Instance) endpointDown(e steering.Endpoint, err error) {
 	in.client.Drop(e.ID)
+	in.crashes.ended(e.ID)
 	in.log.Log(events.EndpointHealth).Str("endpoint", string(e.ID)).Str("service", string(e.Service)).
 		Bool("up", false).AnErr("error", err).Send()
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -36,12 +36,14 @@
 
 	store   *platform.Store
 	copy    *mirror.Copy
+	packed  packedCopy
 	table   *steering.Table
 	members *fleet.Members
 	socket  *fleet.Socket
 	client  *exchange.Client
 	budget  *forward.Budget
 	handler *forward.Handler
+	crashes *crashes
 	peers   *peer.Pool
 
 	state     atomic.Pointer[desired.State]
@@ -85,9 +87,10 @@
 	in.client = exchange.New(exchange.Default(), platform.Endpoint{})
 	in.budget = forward.NewBudget(forward.BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 		Window: time.Duration(s.Bounds.RetryWindow)})
+	in.crashes = newCrashes(in)
 	in.handler = forward.New(forward.Config{Protocol: platform.Caller{}, EngineConfig: forward.EngineConfig{Log: log, Table: in.table,
 		Transport: in.client, Budget: in.budget, Rand: newRand(), State: in.state.Load,
-		Instances: in.instanceCount, Reroute: in.endpointDown}})
+		Instances: in.instanceCount, Reroute: in.endpointDown, Quarantine: in.crashes}})
 	in.peers = peer.NewPool(in.resolve, peer.PoolOptions{})
 	return in
 }
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -32,8 +32,9 @@
 	// endpoints may be missing that are still alive: they write again within
 	// 2 s.
 	lapseGrace = 2200 * time.Millisecond
-	// shortOutage is an interruption in which no entry expires.
-	shortOutage = 500 * time.Millisecond
+	// shortOutage is an interruption in which no entry expires. It is above the
+	// time between two answers of a store that works.
+	shortOutage = verifyEvery + 200*time.Millisecond
 )
 
 // followStore keeps the copy of the store up to date.
@@ -132,6 +133,9 @@
 		if change == "restarted" || change == "leaving" {
 			in.client.Drop(id)
 		}
+		if change == "restarted" {
+			in.crashes.ended(id)
+		}
 	}
 	if change != "" {
 		in.log.Log(events.EndpointChanged).Str("endpoint", string(id)).Str("change", change).
@@ -142,6 +146,7 @@
 
 func (in *Instance) removeEndpoint(id model.EndpointID, now time.Time) string {
 	in.client.Drop(id)
+	in.crashes.ended(id)
 	if !in.table.Remove(id, now) {
 		return ""
 	}
@@ -177,14 +182,15 @@
 	leaseTime = 30 * time.Second
 	// renewEvery is the time between two renewals: a third of the lease.
 	renewEvery = leaseTime / 3
-	// announceRetry is the pause after a failed announcement.
+	// announceRetry is the pause after a failed announcement, which doubles up
+	// to the time between two renewals: the lease outlasts that.
 	announceRetry = time.Second
 )
 
 // announce keeps the instance's address in the store.
 func (in *Instance) announce(ctx context.Context) {
 	var lease uint64
-	pause := time.Duration(0)
+	pause, retry := time.Duration(0), announceRetry
 	for {
 		select {
 		case <-ctx.Done():
@@ -194,14 +200,13 @@
 		}
 		var err error
 		lease, err = in.announceOnce(ctx, lease)
-		if err == nil {
-			in.announced.Store(true)
-		} else {
+		if err != nil {
 			in.log.Log(events.AnnouncementFailed).Err(err).Send()
+			pause, retry = retry, min(2*retry, renewEvery)
+			continue
 		}
-		if pause = renewEvery; err != nil {
-			pause = announceRetry
-		}
+		in.announced.Store(true)
+		pause, retry = renewEvery, announceRetry
 	}
 }
 
