Slots of an instance that stops get to its neighbour within two seconds

Ruled out: the endpoints (none refused), the witnesses of keys (reason no-intent, repeated with success). Change: while requests lack slots, and for 15 s after the start or a change of the region's instances, the record is read each 0.5 s.

A quiet fleet reads as before (TestQuietClusterCostsOneReadPer10s).

--- a/internal/capacity/driver.go
+++ b/internal/capacity/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,15 @@
 	// instance claimed its first slots up to 10 s after it had its rules.
 	proposeEvery   = 250 * time.Millisecond
 	bytesPerSecond = 1000
+	// hurryEvery is how often the record is read instead while requests lack
+	// slots and the owners are about to change: for hurryTime after the start
+	// and after an instance of the region has come or gone. The slots of a
+	// neighbour that stops are in the record up to some seconds before the next
+	// usual reading.
+	hurryEvery = 500 * time.Millisecond
+	hurryTime  = 15 * time.Second
+	// unmetTime is how long a request without a slot counts as a lack.
+	unmetTime = time.Second
 	// storeTimeout bounds one call of the store.
 	storeTimeout = 2 * time.Second
 	// callTimeout bounds one call of a peer.
@@ -81,6 +91,13 @@
 	storeDown atomic.Bool
 	// recordSize is the size in bytes of the root record last read.
 	recordSize atomic.Int64
+	// unmet is when a request last found no slot, in nanoseconds since began.
+	unmet atomic.Int64
+	began time.Time
+	// region holds the region's other instances when they were last looked at,
+	// changed when they last changed. Only runStore uses them.
+	region  []model.InstanceID
+	changed time.Time
 	// last is what was last logged.
 	last Status
 }
@@ -100,7 +117,8 @@
 	d := &Driver{store: dc.Store, caller: dc.Caller, members: dc.Members, log: dc.Log, rand: dc.Rand}
 	d.wake = make(chan struct{}, 1)
 	d.done = make(chan struct{})
-	cfg.Unmet = d.signal
+	d.began = time.Now()
+	cfg.Unmet = d.lack
 	d.state = New(time.Now(), cfg)
 	return d.state, d
 }
@@ -112,6 +130,18 @@
 	}
 }
 
+// lack notes that a request found no slot.
+func (d *Driver) lack() {
+	d.unmet.Store(int64(time.Since(d.began)))
+	d.signal()
+}
+
+// hurries reports whether the record is to be read sooner than usual.
+func (d *Driver) hurries(now, read time.Time) bool {
+	lacking := now.Sub(d.began)-time.Duration(d.unmet.Load()) < unmetTime
+	return lacking && now.Sub(d.changed) < hurryTime && now.Sub(read) >= hurryEvery
+}
+
 // Start runs the driver until ctx ends. Done is closed after that.
 func (d *Driver) Start(ctx context.Context) {
 	d.calls.Go(func() { d.runStore(ctx) })
@@ -233,9 +263,10 @@
 	var last time.Time
 	for ctx.Err() == nil {
 		d.setMembers()
-		read := time.Since(last) >= d.readInterval()
+		now := time.Now()
+		read := now.Sub(last) >= d.readInterval() || d.hurries(now, last)
 		if read {
-			last = time.Now()
+			last = now
 		}
 		err := d.exchange(ctx, read)
 		d.noteStore(err)
@@ -281,7 +312,12 @@
 			ids = append(ids, p.ID)
 		}
 	}
-	d.state.SetMembers(time.Now(), ids)
+	now := time.Now()
+	slices.Sort(ids)
+	if d.changed.IsZero() || !slices.Equal(ids, d.region) {
+		d.region, d.changed = ids, now
+	}
+	d.state.SetMembers(now, ids)
 }
 
 func (d *Driver) readRecord(ctx context.Context) error {
--- a/internal/capacity/driver_test.go
+++ b/internal/capacity/driver_test.go
@@ -70,11 +70,15 @@
 	store  *memStore
 	rtt    time.Duration
 	states []*State
-	rpcs   map[model.InstanceID]*RPC
-	peers  []Peer
-	ids    []model.InstanceID
-	calls  atomic.Int64
-	freed  []chan struct{}
+	// drivers are those of the states.
+	drivers []*Driver
+	// mu guards peers and ids.
+	mu    sync.Mutex
+	rpcs  map[model.InstanceID]*RPC
+	peers []Peer
+	ids   []model.InstanceID
+	calls atomic.Int64
+	freed []chan struct{}
 	// urgent counts the urgent requests that wait at each instance.
 	urgent []atomic.Int32
 }
@@ -110,9 +114,15 @@
 	}
 }
 
-func (c *cluster) Peers() []Peer { return c.peers }
+func (c *cluster) Peers() []Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peers
+}
 
 func (c *cluster) Listing() ([]model.InstanceID, time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.ids, time.Now().Truncate(5 * time.Second), true
 }
 
@@ -123,7 +133,6 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		c := &cluster{store: &memStore{}, rtt: 3 * time.Millisecond, rpcs: map[model.InstanceID]*RPC{}, urgent: make([]atomic.Int32, n)}
 		set := &rules.Set{Capacity: map[Key]int{testKey: slots}}
-		var drivers []*Driver
 		for i := range n {
 			id := model.InstanceID(fmt.Sprint("i", i))
 			c.ids = append(c.ids, id)
@@ -140,15 +149,15 @@
 			s.SetRules(time.Now(), set)
 			c.states = append(c.states, s)
 			c.rpcs[id] = NewRPC(s)
-			drivers = append(drivers, d)
+			c.drivers = append(c.drivers, d)
 		}
-		for _, d := range drivers {
+		for _, d := range c.drivers {
 			d.Start(ctx)
 		}
 		time.Sleep(40 * time.Second)
 		f(c)
 		cancel()
-		for _, d := range drivers {
+		for _, d := range c.drivers {
 			<-d.Done()
 		}
 	})
@@ -318,3 +327,30 @@
 		wg.Wait()
 	})
 }
+
+// Pattern: instances are replaced one after another under load. The slots of one
+// that stops as planned get to its neighbour within two seconds, not with the
+// next usual reading of the record.
+func TestSlotsOfAStoppingInstance(t *testing.T) {
+	for _, phase := range []time.Duration{0, 3 * time.Second, 6 * time.Second} {
+		runCluster(t, 2, 16, func(c *cluster) {
+			time.Sleep(phase)
+			c.mu.Lock()
+			c.peers, c.ids = c.peers[:1], c.ids[:1]
+			c.mu.Unlock()
+			if err := c.drivers[1].Leave(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			held := 0
+			for held < 16 && time.Since(start) < 20*time.Second {
+				if s := c.acquire(0, model.PriorityNormal, 100*time.Millisecond); s != nil {
+					held++
+				}
+			}
+			if took := time.Since(start); held < 16 || took > 2*time.Second {
+				t.Errorf("phase %s: %d of 16 slots after %s", phase, held, took)
+			}
+		})
+	}
+}
