Soak: faults between callers and instances, settings written again

Each instance has a proxy between its callers and itself, which goes silent, one way, resets or delays; settings files are written again with an unknown setting, with and without SIGHUP. The new faults are drawn from a series of their own, so that the seeds that failed once keep their schedules.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -103,6 +103,9 @@
 	case n < 5:
 		r.Path = fmt.Sprintf("/only-%d/x", max(1, version-rnd.IntN(3)))
 	}
+	if in != nil {
+		addr = in.front.Addr()
+	}
 	req := standin.NewRequest(method, addr, host, r.Path, id, strconv.Itoa(rnd.IntN(30)), callerWait)
 	if in != nil {
 		r.Incarnation, _, _ = in.state()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"os/exec"
 	"sync"
 	"syscall"
@@ -54,6 +55,11 @@
 	"endpoint crashes": endpointCrashes,
 	"state":            func(w *World, _ Fault) { w.ChangeState() },
 	"evacuate":         evacuate,
+	"callers cut":      callersCut(func(p *Proxy) { p.silent.Store(true) }),
+	"callers one way":  callersCut(func(p *Proxy) { p.oneWay.Store(true) }),
+	"callers reset":    callersCut(func(p *Proxy) { p.Reset() }),
+	"callers slow":     callersCut(func(p *Proxy) { p.delay.Store(int64(60 * time.Millisecond)) }),
+	"settings":         changeSettings,
 }
 
 // kindNames are the kinds in a fixed order, so that a seed decides a schedule.
@@ -61,12 +67,21 @@
 	"history lost", "store cut", "store one way", "store refuses", "endpoint slow", "endpoint silent", "endpoint one way",
 	"endpoint reset", "endpoint fails", "endpoint cuts", "endpoint halves", "endpoint repeats", "address reused", "endpoint leaves", "endpoint crashes", "state", "state", "evacuate"}
 
+// laterKinds were added when seeds had failed already. They are drawn by
+// themselves, so that the schedules of those seeds keep their faults.
+var laterKinds = []string{"callers cut", "callers one way", "callers reset", "callers slow", "settings"}
+
 // Schedule draws the faults of a run.
 func Schedule(seed uint64, length time.Duration) []Fault {
-	rnd := rand.New(rand.NewPCG(seed, 7))
+	return append(draw(seed, 7, kindNames, 900, length), draw(seed, 8, laterKinds, 2000, length)...)
+}
+
+// draw draws faults of the kinds, at most spread milliseconds apart.
+func draw(seed, stream uint64, names []string, spread int, length time.Duration) []Fault {
+	rnd := rand.New(rand.NewPCG(seed, stream))
 	var out []Fault
-	for at := 500 * time.Millisecond; at < length; at += time.Duration(100+rnd.IntN(900)) * time.Millisecond {
-		kind := kindNames[rnd.IntN(len(kindNames))]
+	for at := 500 * time.Millisecond; at < length; at += time.Duration(100+rnd.IntN(spread)) * time.Millisecond {
+		kind := names[rnd.IntN(len(names))]
 		f := Fault{At: at, Kind: kind, Which: rnd.IntN(1000), For: time.Duration(200+rnd.IntN(2500)) * time.Millisecond}
 		out = append(out, f)
 		// Some come as a series.
@@ -193,6 +208,37 @@
 	}
 }
 
+// callersCut harms the way from callers to an instance, which others still
+// reach.
+func callersCut(cut func(*Proxy)) func(*World, Fault) {
+	return func(w *World, f Fault) {
+		in := w.instance(f)
+		cut(in.front)
+		time.Sleep(f.For)
+		in.front.Heal()
+	}
+}
+
+// changeSettings writes the settings file of an instance again, with a setting
+// that the program does not know, and asks for a reload in every second case.
+func changeSettings(w *World, f Fault) {
+	in := w.instance(f)
+	text, err := os.ReadFile(in.config)
+	if err != nil {
+		panic(err) // The world has written it.
+	}
+	text = append([]byte(fmt.Sprintf("{\"later_%d\": {\"x\": 1}, ", f.Which)), text[1:]...)
+	if err := os.WriteFile(in.config+".new", text, 0o600); err != nil {
+		panic(err)
+	}
+	if err := os.Rename(in.config+".new", in.config); err != nil {
+		panic(err)
+	}
+	if f.Which%2 == 0 {
+		hangUp(w, f)
+	}
+}
+
 func endpointFault(harm func(*Endpoint)) func(*World, Fault) {
 	return func(w *World, f Fault) {
 		e := w.endpoint(f)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -64,7 +64,8 @@
 	name, ip, domain string
 	entry, lookups   string
 	config           string
-	store            *Proxy
+	// store is its way to the store, front that of callers to it.
+	store, front *Proxy
 
 	mu          sync.Mutex
 	cmd         *exec.Cmd
@@ -140,6 +141,9 @@
 	in := &Instance{name: fmt.Sprint("i", i), ip: fmt.Sprint(w.net, i+1), domain: domains[i%len(domains)], store: proxy}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", in.ip, port) }
 	in.entry, in.lookups = at(ports[0]), at(ports[1])
+	if in.front, err = NewProxy(in.entry); err != nil {
+		return err
+	}
 	regions := map[string]string{}
 	for _, d := range domains {
 		regions[d] = regionOf(d)
@@ -283,6 +287,7 @@
 		in.Signal(syscall.SIGCONT, true)
 		in.Signal(syscall.SIGKILL, true)
 		in.store.Close()
+		in.front.Close()
 		_ = in.log.Close()
 	}
 	for _, e := range w.Endpoints {
