--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -19,6 +19,10 @@
 // errTooSlow is the cause of attempts that are given up for a slot elsewhere.
 const errTooSlow = errors.ConstError("attempt took too long")
 
+// leastPatience is the least time after which an attempt behind a gate takes too
+// long beside its way: a pause of the endpoint, as by its garbage collection.
+const leastPatience = 30 * time.Millisecond
+
 // giveUp ends an attempt that takes much too long if a second one beside it has
 // no slot: behind a gate its own slot is worth more elsewhere. The endpoint may
 // be lost, or its connection silent.
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -452,6 +452,9 @@
 	if !hd.req.Route.Repeatable || hd.last == nil || hd.verdict != VerdictAllow {
 		return never
 	}
+	if hd.cfg.Gate != nil {
+		return max(hd.last.Patience, hd.last.Distance()+leastPatience)
+	}
 	return hd.last.Patience
 }
 
--- a/internal/forward/gate_test.go
+++ b/internal/forward/gate_test.go
@@ -413,3 +413,28 @@
 		}
 	})
 }
+
+// Pattern: requests with hardly any work. One that meets a pause of its endpoint is
+// not given up.
+func TestFastWorkIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGated(1, func(ctx context.Context, n int, _ exchange.Target, _ *exchange.Call) exchange.Result {
+			work := 100 * time.Microsecond
+			if n == 150 {
+				work = 20 * time.Millisecond
+			}
+			select {
+			case <-ctx.Done():
+				return exchange.Result{Outcome: exchange.Abandoned, Err: context.Cause(ctx)}
+			case <-time.After(work):
+				return ok("")
+			}
+		})
+		g.gate.order = g.gate.order[:1] // No slot for a second attempt.
+		for i := range 200 {
+			if a := g.Do(t.Context(), gatedRequest(true, 2*time.Second)); a.Outcome != model.OutcomeAnswered || a.Tries != 1 {
+				t.Fatalf("request %d: %s after %d attempts", i, a.Outcome, a.Tries)
+			}
+		}
+	})
+}
