--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -30,6 +30,11 @@
 // has a larger incarnation.
 type Incarnation uint64
 
+// Era counts how often the platform's store has come back from a copy. Revisions
+// and leases of one era mean nothing in another one: the store gives their numbers
+// out again. 0 means that the store does not tell its era.
+type Era uint64
+
 // Priority is the priority class of a request. Requests with a smaller value are
 // served first.
 type Priority uint8
