internal/freeport: reserve ports that tests listen on later

Seen: tests of internal/serve failed at times beside other runs, with "not true within 5 s: instance is ready".

Cause: freePort closed its listener before the instance opened its own on the same port. Another process, or another call of freePort on the same address, could get the port in between. The harness dropped the error of Run ("bind: address already in use").

Change: the new package freeport binds a port without listening on it. On Linux that does not conflict with a listener that has SO_REUSEADDR, as all listeners of the net package do, and the kernel assigns the port to no other listener or connection. internal/serve, internal/proctest (which probed ports below the ephemeral range), and internal/soak reserve the ports of their instances until the end of the test, also while a process restarts. Tests of internal/control, internal/wire and internal/peer that need an address without a listener reserve it as well. An error of Run fails the tests of internal/serve with its text; in internal/proctest a process that exits before it is ready fails the test at once.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -13,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"jujubestile.example/jujubestile/internal/configsync"
+	"jujubestile.example/jujubestile/internal/freeport"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
 	"jujubestile.example/jujubestile/internal/store"
@@ -236,11 +236,11 @@
 func TestClientFailover(t *testing.T) {
 	_, url, _ := startServer(t)
 	good := strings.TrimPrefix(url, "http://")
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := freeport.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	closed.Close()
+	defer closed.Release()
 	aborting := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	defer aborting.Close()
 	abortingAddr := strings.TrimPrefix(aborting.URL, "http://")
@@ -249,10 +249,10 @@
 		read      error
 		write     error
 	}{
-		"no instance":                  {[]string{closed.Addr().String()}, ErrUnreachable, ErrUnreachable},
-		"the next one":                 {[]string{closed.Addr().String(), good}, nil, nil},
+		"no instance":                  {[]string{closed.Loopback().String()}, ErrUnreachable, ErrUnreachable},
+		"the next one":                 {[]string{closed.Loopback().String(), good}, nil, nil},
 		"lost response":                {[]string{abortingAddr}, ErrUnreachable, ErrOutcomeUnknown},
-		"lost response, then none":     {[]string{abortingAddr, closed.Addr().String()}, ErrUnreachable, ErrOutcomeUnknown},
+		"lost response, then none":     {[]string{abortingAddr, closed.Loopback().String()}, ErrUnreachable, ErrOutcomeUnknown},
 		"lost response, then repeated": {[]string{abortingAddr, good}, nil, nil},
 	} {
 		client, err := NewClient(c.addresses)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/goleak"
 
+	"jujubestile.example/jujubestile/internal/freeport"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -257,9 +258,13 @@
 // reports a call as possibly executed although it was not sent. Fails without
 // backoff, or without ErrNotSent.
 func TestServerReplaced(t *testing.T) {
-	ln := listen(t, "127.0.0.1:0")
-	addr := ln.Addr().String()
-	s, _ := serve(t, ln, ServerOptions{})
+	port, err := freeport.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer port.Release()
+	addr := port.Loopback().String()
+	s, _ := serve(t, listen(t, addr), ServerOptions{})
 	p := pool(t, addr, PoolOptions{})
 	if _, err := say(p, "x", time.Second); err != nil {
 		t.Fatal(err)
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http/httptest"
 	"net/netip"
 	"os"
@@ -16,6 +14,7 @@
 
 	"jujubestile.example/jujubestile/internal/configsync"
 	"jujubestile.example/jujubestile/internal/control"
+	"jujubestile.example/jujubestile/internal/freeport"
 	"jujubestile.example/jujubestile/internal/instancelist"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/standin"
@@ -157,7 +156,7 @@
 	domain := failureDomain(region, i)
 	p := &process{
 		id:        model.InstanceID(fmt.Sprintf("%s-%d", domain, i)),
-		entryAddr: freeAddr(f.t), peerAddr: freeAddr(f.t), controlAddr: freeAddr(f.t),
+		entryAddr: reserveAddr(f.t), peerAddr: reserveAddr(f.t), controlAddr: reserveAddr(f.t),
 		config: filepath.Join(f.t.TempDir(), "settings.json"),
 	}
 	text := fmt.Sprintf(`{"instance": %q, "region": %q, "domain": %q,
@@ -176,24 +175,20 @@
 	})
 }
 
-// lastPort is the port that freeAddr tried last. The ports are below the range of
-// ephemeral ports (32768 and up), so that no outgoing connection takes a port
-// between its choice and the start of a process.
-var lastPort = 20000 + rand.IntN(8000)
-
-// freeAddr returns a loopback address with a free port.
-func freeAddr(t testing.TB) string {
+// reserveAddr returns a loopback address with a port that is reserved until the
+// end of the test, also while no process of the instance runs.
+func reserveAddr(t testing.TB) string {
 	t.Helper()
-	for range 1000 {
-		lastPort++
-		addr := fmt.Sprintf("127.0.0.1:%d", lastPort)
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			_ = ln.Close()
-			return addr
-		}
+	p, err := freeport.Reserve()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	t.Cleanup(func() {
+		if err := p.Release(); err != nil {
+			t.Error(err)
+		}
+	})
+	return p.Loopback().String()
 }
 
 // start starts a new process of the instance. Its log is printed if the test
@@ -248,11 +243,17 @@
 // reclaimed.
 const readyTimeout = 30 * time.Second
 
-// awaitReady waits until the processes report that they are ready.
+// awaitReady waits until the processes report that they are ready. It fails the
+// test if one exits before.
 func (f *fleet) awaitReady(ps ...*process) {
 	f.t.Helper()
 	for _, p := range ps {
 		eventually(f.t, readyTimeout, "readiness of "+string(p.id), func() bool {
+			select {
+			case err := <-p.exited:
+				f.t.Fatalf("%s exited before it was ready: %v", p.id, err)
+			default:
+			}
 			st, err := f.control(p).Status(f.t.Context())
 			return err == nil && st.Ready
 		})
--- a/internal/serve/cluster_test.go
+++ b/internal/serve/cluster_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -17,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/freeport"
 	"jujubestile.example/jujubestile/internal/logtest"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/serve"
@@ -31,7 +31,10 @@
 	instances []*instance
 	version   int
 	logs      *logtest.Buffer
-	peerPort  uint16
+	// peerPort is the port for messages of all instances. ports holds all reserved
+	// ports.
+	peerPort *freeport.Port
+	ports    []*freeport.Port
 }
 
 type instance struct {
@@ -50,7 +53,7 @@
 	}
 	c := &cluster{t: t, store: store, logs: &logtest.Buffer{}}
 	t.Cleanup(c.close)
-	c.peerPort = freePort(t, "127.9.1.1")
+	c.peerPort = c.reservePort()
 	for i := range endpoints {
 		c.addEndpoint(fmt.Sprint("e", i), []string{"a1", "a2", "b1"}[i%3])
 	}
@@ -75,6 +78,11 @@
 		e.Close()
 	}
 	c.store.Close()
+	for _, p := range c.ports {
+		if err := p.Release(); err != nil {
+			c.t.Error(err)
+		}
+	}
 }
 
 func (c *cluster) addEndpoint(id, domain string) *standin.Endpoint {
@@ -103,35 +111,41 @@
 	c.store.PutDesiredState(c.version, 5, []string{"s", "other"}, routes)
 }
 
-// freePort returns a port that is free on the address at the moment.
-func freePort(t *testing.T, ip string) uint16 {
-	t.Helper()
-	ln, err := net.Listen("tcp", ip+":0")
+// reservePort reserves a port until the end of the test.
+func (c *cluster) reservePort() *freeport.Port {
+	c.t.Helper()
+	p, err := freeport.Reserve()
 	if err != nil {
-		t.Fatal(err)
+		c.t.Fatal(err)
 	}
-	defer ln.Close()
-	return netip.MustParseAddrPort(ln.Addr().String()).Port()
+	c.ports = append(c.ports, p)
+	return p
 }
 
 // start runs instance i. Each has an IP address of its own, so that all can use
-// the same port for messages.
+// the same port for messages. An error of the instance fails the test.
 func (c *cluster) start(i int) *instance {
 	c.t.Helper()
-	ip := fmt.Sprintf("127.9.1.%d", i+1)
-	addr := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr(ip), port) }
+	ip := netip.AddrFrom4([4]byte{127, 9, 1, byte(i + 1)})
+	addr := func() netip.AddrPort { return c.reservePort().On(ip) }
 	domain := []model.Domain{"a1", "a2", "b1"}[i%3]
 	s := serve.Settings{Instance: model.InstanceID(fmt.Sprint("i", i)), Region: domains[domain], Domain: domain, Domains: domains,
-		Listen: serve.Listen{Requests: addr(freePort(c.t, ip)), Ready: addr(freePort(c.t, ip)), Lookups: addr(freePort(c.t, ip)),
-			Metrics: addr(freePort(c.t, ip)), Peer: addr(c.peerPort)},
-		Store: serve.StoreSettings{Address: netip.MustParseAddrPort(c.store.Addr())},
-		Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.9.1.1:1"), netip.MustParseAddrPort("127.9.1.2:1")},
+		Listen: serve.Listen{Requests: addr(), Ready: addr(), Lookups: addr(), Metrics: addr(), Peer: c.peerPort.On(ip)},
+		Store:  serve.StoreSettings{Address: netip.MustParseAddrPort(c.store.Addr())},
+		Seeds:  []netip.AddrPort{netip.MustParseAddrPort("127.9.1.1:1"), netip.MustParseAddrPort("127.9.1.2:1")},
 		Bounds: serve.Bounds{Grace: serve.Duration(2 * time.Second), RetryRatio: 0.2, RetrySlack: 120,
 			RetryWindow: serve.Duration(10 * time.Second), MaxShift: 0.15}}
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &instance{settings: s, stop: cancel, done: make(chan error, 1)}
 	run := serve.New(s, events.New(c.logs, zerolog.DebugLevel, string(s.Instance)))
-	go func() { in.done <- run.Run(ctx); close(in.done) }()
+	go func() {
+		defer close(in.done)
+		err := run.Run(ctx)
+		if err != nil {
+			c.t.Errorf("%s: %v", s.Instance, err)
+		}
+		in.done <- err
+	}()
 	c.instances = append(c.instances, in)
 	return in
 }
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -2,8 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
-	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"jujubestile.example/jujubestile/internal/freeport"
 	"jujubestile.example/jujubestile/platform/standin"
 )
 
@@ -44,7 +46,9 @@
 type Cluster struct {
 	binary, dir string
 	// network is the prefix of the instances' loopback addresses.
-	network   string
+	network string
+	// ports are the ports that each instance listens on, at its own address.
+	ports     []*freeport.Port
 	Store     *standin.Store
 	Instances []*Instance
 
@@ -116,41 +120,41 @@
 		}
 	}
 	w.PutNextState()
-	ports, err := freePorts(w.network+"1", 4)
-	if err != nil {
+	if err := w.reservePorts(4); err != nil {
 		return nil, err
 	}
 	for i := range instances {
-		if err := w.addInstance(i, ports); err != nil {
+		if err := w.addInstance(i); err != nil {
 			return nil, err
 		}
 	}
 	return w, nil
 }
 
-func freePorts(ip string, n int) ([]int, error) {
-	var ports []int
+// reservePorts reserves n ports until Close.
+func (w *Cluster) reservePorts(n int) error {
 	for range n {
-		ln, err := net.Listen("tcp", ip+":0")
+		p, err := freeport.Reserve()
 		if err != nil {
-			return nil, err
+			return err
 		}
-		defer ln.Close()
-		_, port, _ := net.SplitHostPort(ln.Addr().String())
-		p, _ := strconv.Atoi(port)
-		ports = append(ports, p)
+		w.ports = append(w.ports, p)
 	}
-	return ports, nil
+	return nil
 }
 
-func (w *Cluster) addInstance(i int, ports []int) error {
+func (w *Cluster) addInstance(i int) error {
 	proxy, err := NewProxy(w.Store.Addr())
 	if err != nil {
 		return err
 	}
 	in := &Instance{name: fmt.Sprint("i", i), ip: fmt.Sprint(w.network, i+1), domain: domains[i%len(domains)], storeProxy: proxy}
-	at := func(port int) string { return fmt.Sprintf("%s:%d", in.ip, port) }
-	in.entry, in.lookups = at(ports[0]), at(ports[1])
+	ip, err := netip.ParseAddr(in.ip)
+	if err != nil {
+		return err
+	}
+	at := func(port int) string { return w.ports[port].On(ip).String() }
+	in.entry, in.lookups = at(0), at(1)
 	if in.callerProxy, err = NewProxy(in.entry); err != nil {
 		return err
 	}
@@ -160,7 +164,7 @@
 	}
 	text, err := json.Marshal(map[string]any{
 		"instance": in.name, "region": regionOf(in.domain), "domain": in.domain, "domains": regions,
-		"listen": map[string]string{"requests": in.entry, "lookups": in.lookups, "ready": at(ports[2]), "peer": at(ports[3])},
+		"listen": map[string]string{"requests": in.entry, "lookups": in.lookups, "ready": at(2), "peer": at(3)},
 		"store":  map[string]string{"address": proxy.Addr()},
 		"bounds": map[string]any{"grace": grace.String(), "retry_ratio": 0.2, "retry_slack": 120, "retry_window": "10s", "max_shift": 0.15},
 		"seeds":  []string{w.network + "1:1", w.network + "2:1"}, "memory_mb": memoryLimit >> 20, "log": map[string]string{"level": "info"},
@@ -293,8 +297,9 @@
 	w.acked[w.version] = time.Now()
 }
 
-// Close stops the instances, endpoints, proxies and the store.
-func (w *Cluster) Close() {
+// Close stops the instances, endpoints, proxies and the store, and releases the
+// ports.
+func (w *Cluster) Close() error {
 	for _, in := range w.Instances {
 		in.Signal(syscall.SIGCONT, true)
 		in.Signal(syscall.SIGKILL, true)
@@ -307,6 +312,11 @@
 		e.Close()
 	}
 	w.Store.Close()
+	var errs []error
+	for _, p := range w.ports {
+		errs = append(errs, p.Release())
+	}
+	return errors.Join(errs...)
 }
 
 // residentMemory returns the resident memory of the instance's process in bytes.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -81,7 +81,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer w.Close()
+	defer func() {
+		if err := w.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
 	c := &Callers{cluster: w}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"jujubestile.example/jujubestile/internal/exchange"
+	"jujubestile.example/jujubestile/internal/freeport"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/wire"
 )
@@ -169,12 +170,12 @@
 // Guards against reporting the outcome of a request as unknown when the
 // connection was refused, so that the request was not sent.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := freeport.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	to := exchange.Target{ID: "e1", Addr: netip.MustParseAddrPort(ln.Addr().String())}
-	ln.Close()
+	defer closed.Release()
+	to := exchange.Target{ID: "e1", Addr: closed.Loopback()}
 	if res := send(newClient(t, false), to, exchange.Call{Method: "POST", Target: "/"}); res.Outcome != exchange.NotSent {
 		t.Errorf("%s, want not-sent", res.Outcome)
 	}
