internal/demo: reserve the ports of the instances

Seen: 1 of 16 demos ended with "bind: address already in use", and TestDemo once with "is not ready after 15s".

Cause: freeAddrs closed its listeners before the instances opened theirs, so that another process could get a port in between. awaitReady did not look at the error of an instance that had ended, and waited until its timeout.

Change: the ports stay reserved (internal/freeport) until the demo ends. An instance that ends before it is ready ends the demo with its error.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -61,13 +61,17 @@
 
 // Run runs the demo. The log events of all instances are written to log. Run
 // returns the report, or an error if the demo could not start.
-func Run(ctx context.Context, log io.Writer) (*Report, error) {
+func Run(ctx context.Context, log io.Writer) (report *Report, err error) {
 	p, err := startPlatform()
 	if err != nil {
 		return nil, err
 	}
 	r := &run{platform: p}
-	defer p.stop()
+	defer func() {
+		if stopErr := p.stop(); err == nil {
+			err = stopErr
+		}
+	}()
 	defer r.stopInstances()
 	if err := r.startInstances(log); err != nil {
 		return nil, err
@@ -116,10 +120,24 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, i := range r.instances {
-		for !i.IsReady() {
-			if sleep(ctx, 20*time.Millisecond) != nil {
-				return errors.Errorf("%s is not ready after %s", i.ID(), readyTimeout)
-			}
+		if err := i.awaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitReady waits until the instance is ready. It returns an error if the
+// instance ends before, or is not ready when ctx is done.
+func (i *instance) awaitReady(ctx context.Context) error {
+	for !i.IsReady() {
+		select {
+		case err := <-i.done:
+			i.done <- err
+			return errors.Errorf("%s ended before it was ready: %v", i.ID(), err)
+		case <-ctx.Done():
+			return errors.Errorf("%s is not ready after %s", i.ID(), readyTimeout)
+		case <-time.After(20 * time.Millisecond):
 		}
 	}
 	return nil
--- a/internal/demo/topology.go
+++ b/internal/demo/topology.go
@@ -5,6 +5,7 @@
 package demo
 
 import (
+	stderrors "errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/juju/errors"
 
+	"jujubestile.example/jujubestile/internal/freeport"
 	"jujubestile.example/jujubestile/internal/instancelist"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
@@ -62,6 +64,8 @@
 	endpoints []endpoint
 	gauges    map[rules.RegionService]*standin.Gauge
 	servers   []*http.Server
+	// ports are the ports that are reserved for the instances.
+	ports []*freeport.Port
 }
 
 type endpoint struct {
@@ -129,13 +133,19 @@
 	return model.Domain(fmt.Sprintf("%s-%c", r, 'a'+i%2))
 }
 
-func (p *platformStandIns) stop() {
+// stop stops the stand-ins and releases the ports of the instances.
+func (p *platformStandIns) stop() error {
 	for _, e := range p.endpoints {
 		e.Stop()
 	}
 	for _, s := range p.servers {
 		_ = s.Close()
 	}
+	var errs []error
+	for _, port := range p.ports {
+		errs = append(errs, port.Release())
+	}
+	return stderrors.Join(errs...)
 }
 
 // capacity returns the total slots of a service's endpoints in a region.
@@ -191,8 +201,8 @@
 	return b.String()
 }
 
-// instanceSettings returns the settings of all instances, with free ports, and
-// lists the instances.
+// instanceSettings returns the settings of all instances, with reserved ports,
+// and lists the instances.
 func (p *platformStandIns) instanceSettings() ([]settings.Settings, error) {
 	var out []settings.Settings
 	for _, r := range regions {
@@ -203,7 +213,7 @@
 			s.Store = p.kvURL
 			s.Platform = settings.Platform{URL: p.listURL, Poll: settings.Duration(200 * time.Millisecond)}
 			s.Shutdown.Announce = settings.Duration(2 * time.Second)
-			if err := freeAddrs(&s.Listen.Entry, &s.Listen.Peer, &s.Listen.Control); err != nil {
+			if err := p.reserveAddrs(&s.Listen.Entry, &s.Listen.Peer, &s.Listen.Control); err != nil {
 				return nil, err
 			}
 			p.list.PutEntry(instancelist.EntryRecord{
@@ -217,16 +227,16 @@
 	return out, nil
 }
 
-// freeAddrs fills in loopback addresses with free ports. The ports stay occupied
-// until the last one is found, so that they differ.
-func freeAddrs(addrs ...*netip.AddrPort) error {
+// reserveAddrs fills in loopback addresses with ports that stay reserved until
+// stop, so that no other process takes one before an instance listens on it.
+func (p *platformStandIns) reserveAddrs(addrs ...*netip.AddrPort) error {
 	for _, a := range addrs {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := freeport.Reserve()
 		if err != nil {
-			return errors.Trace(err)
+			return err
 		}
-		defer ln.Close()
-		*a = ln.Addr().(*net.TCPAddr).AddrPort()
+		p.ports = append(p.ports, port)
+		*a = port.Loopback()
 	}
 	return nil
 }
