capacity: keep loans for urgent requests from less urgent ones

Seen: TestOverloadUsesSlots failed seldom; a critical request waited 1.005 to 1.009 s for a slot, the limit is 1 s.

Cause: the product. A critical request at an instance without a slot asks up to four owners every 5 ms until it gets one, and each owner lends it its next free slot for 1 s (contendedUse). The bulk requests of the borrower then occupied the slots that the critical request did not need. After some such requests at different instances all 16 slots were on loan, and owners whose only slot is lent refuse at once. The next critical request waited until the first loan closed, up to 1 s plus the round trip of its return.

Change: a contended loan remembers the priority for which it was asked. Less urgent requests may start on it in its first 100 ms only, so that the slots in excess are not idle, and are returned soon. Loans that bulk requests asked for are not affected.

--- a/internal/capacity/borrow.go
+++ b/internal/capacity/borrow.go
@@ -20,6 +20,10 @@
 	// returnContendedAfter is the same for a contended loan, whose lender could
 	// use the slots itself.
 	returnContendedAfter = 30 * time.Millisecond
+	// sharedUse is how long requests less urgent than those that a contended
+	// loan was asked for may start on it. They use slots that are more than the
+	// urgent requests need.
+	sharedUse = 100 * time.Millisecond
 	// idleReportTTL is how long a peer's report of idle slots is used.
 	idleReportTTL = time.Second
 	// maxLendersAsked is how many peers one plan asks for slots of a pool.
@@ -34,23 +38,6 @@
 	maxRefusalWait = time.Second
 )
 
-// loanIn is a loan from another instance.
-type loanIn struct {
-	id     LoanID
-	lender model.InstanceID
-	count  int
-	used   int
-	// end is the latest deadline of a request on the loan.
-	end time.Time
-	// useUntil is when requests stop starting on the loan, or zero if they may
-	// start until its end.
-	useUntil time.Time
-	// lastBusy is when all slots of the loan were last in use.
-	lastBusy time.Time
-	// renewalAsked is when a renewal was last asked for.
-	renewalAsked time.Time
-}
-
 // Peer is another live instance.
 type Peer struct {
 	ID     model.InstanceID
@@ -153,11 +140,6 @@
 	}
 }
 
-// dropEnded deletes loans that have ended. No request uses them any longer.
-func (p *pool) dropEnded(t time.Time) {
-	p.loans = slices.DeleteFunc(p.loans, func(l *loanIn) bool { return !t.Before(l.end) })
-}
-
 // Plan returns the calls by which the instance borrows slots that its requests
 // lack, renews loans in use and returns idle ones.
 func (s *State) Plan(now time.Time) ([]BorrowCall, []ReturnCall) {
@@ -221,29 +203,6 @@
 	p.loans = slices.DeleteFunc(p.loans, func(l *loanIn) bool { return l.count == 0 })
 }
 
-// idleReturnDelay returns how long idle slots of the loan are kept before they
-// are returned.
-func (l *loanIn) idleReturnDelay(t time.Time) time.Duration {
-	switch {
-	case l.closed(t):
-		return 0
-	case !l.useUntil.IsZero():
-		return returnContendedAfter
-	}
-	return returnAfter
-}
-
-// closed reports whether no more requests may start on the loan.
-func (l *loanIn) closed(t time.Time) bool {
-	return !l.useUntil.IsZero() && !t.Before(l.useUntil)
-}
-
-// fits reports whether a request with the deadline end may use a slot of the
-// loan.
-func (l *loanIn) fits(t, end time.Time) bool {
-	return l.used < l.count && !end.After(l.end) && !l.closed(t)
-}
-
 func addReturn(returns map[model.InstanceID]*ReturnArgs, l *loanIn) {
 	r := returns[l.lender]
 	if r == nil {
@@ -304,7 +263,7 @@
 // have idle slots is asked for as many as it has; any other for half of what
 // is wanted, because some have nothing to lend.
 func (s *State) splitWant(t time.Time, p *pool, lenders []model.InstanceID, borrows map[model.InstanceID]*BorrowArgs) {
-	have := s.usable(p, t)
+	have := s.usable(p, t, p.load.priority(t))
 	if p.load.priority(t) != model.PriorityCritical {
 		// Contended loans come back soon. If their owners borrowed slots in
 		// place of them, most slots would be on loan.
@@ -428,14 +387,15 @@
 
 func (s *State) addLoan(t time.Time, a BorrowCall, l Loan) bool {
 	end := loanEnd(a.began)
-	wanted := slices.ContainsFunc(a.Args.Want, func(w Want) bool { return w.Key == l.Key && l.Count <= w.Count })
-	if !wanted || l.Count <= 0 || !t.Before(end) {
+	want := slices.IndexFunc(a.Args.Want, func(w Want) bool { return w.Key == l.Key && l.Count <= w.Count })
+	if want < 0 || l.Count <= 0 || !t.Before(end) {
 		return false
 	}
 	p := s.pool(l.Key)
 	in := &loanIn{id: l.ID, lender: a.To, count: l.Count, end: end, lastBusy: t}
 	if l.Use > 0 {
 		in.useUntil = a.began.Add(l.Use)
+		in.priority, in.sharedUntil = a.Args.Want[want].Priority, t.Add(sharedUse)
 	}
 	p.loans = append(p.loans, in)
 	s.borrow.nextExpiry = earlier(s.borrow.nextExpiry, end)
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -240,7 +240,7 @@
 		return &Slot{state: s, pool: p, end: end}
 	}
 	for _, l := range p.loans {
-		if l.fits(t, end) {
+		if l.fits(t, pr, end) {
 			l.used++
 			return &Slot{state: s, pool: p, loan: l, end: end}
 		}
@@ -262,9 +262,9 @@
 	}
 }
 
-// Free returns how many slots are available to a request with the given
-// deadline.
-func (s *State) Free(now time.Time, k Key, deadline time.Time) int {
+// Free returns how many slots are available to a request with the given priority
+// and deadline.
+func (s *State) Free(now time.Time, k Key, pr model.Priority, deadline time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.update(now)
@@ -278,14 +278,15 @@
 		n = max(p.free(), 0)
 	}
 	for _, l := range p.loans {
-		if l.fits(t, end) {
+		if l.fits(t, pr, end) {
 			n += l.count - l.used
 		}
 	}
 	return n
 }
 
-// Usable returns how many slots, free or in use, the instance may use now.
+// Usable returns how many slots, free or in use, the instance may use now for
+// critical requests.
 func (s *State) Usable(now time.Time, k Key) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -294,16 +295,18 @@
 	if p == nil || !s.admitting(t) {
 		return 0
 	}
-	return s.usable(p, t)
+	return s.usable(p, t, model.PriorityCritical)
 }
 
-func (s *State) usable(p *pool, t time.Time) int {
+// usable returns how many slots, free or in use, requests of the priority may
+// use at t.
+func (s *State) usable(p *pool, t time.Time, pr model.Priority) int {
 	n := 0
 	if t.Before(s.ownUntil(t)) {
 		n = max(p.owned-p.withheld-p.lent, 0)
 	}
 	for _, l := range p.loans {
-		if !l.closed(t) {
+		if l.open(t, pr) {
 			n += l.count
 		}
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -148,7 +148,7 @@
 type explainer struct{ d *Daemon }
 
 // explainHoldTime is the assumed time for which a request holds a slot. Explain
-// counts the slots that are free for that long.
+// counts the slots that are free to a critical request for that long.
 const explainHoldTime = time.Second
 
 // Regions implements control.Explainer.
@@ -162,7 +162,7 @@
 		key := capacity.Key{Region: r, Service: s}
 		out = append(out, control.RegionView{
 			Region: r, Endpoints: e.d.table.Usable(s, r, now), Slots: e.d.capacity.Usable(now, key),
-			Free: e.d.capacity.Free(now, key, now.Add(explainHoldTime)),
+			Free: e.d.capacity.Free(now, key, model.PriorityCritical, now.Add(explainHoldTime)),
 		})
 	}
 	return out
--- a/internal/route/take.go
+++ b/internal/route/take.go
@@ -95,7 +95,7 @@
 	k := capacity.Key{Region: region, Service: ss.req.Service}
 	if !ss.r.cfg.Limiter.Allow(ss.now, ss.req.Service, region, ss.id) {
 		ss.capped = true
-		ss.cappedFree = ss.cappedFree || c.Free(ss.now, k, ss.req.Deadline) > 0
+		ss.cappedFree = ss.cappedFree || c.Free(ss.now, k, ss.req.Priority, ss.req.Deadline) > 0
 		return nil
 	}
 	spill := ss.allowed > 0
