exchange: limit the size of a response's head

Seen: a status line, header field or header fields without end were read until the deadline and kept in memory. With a timeout of 0.8 s a GET and a POST got 504 after 0.9 to 1.1 s, and requests in other tests of the process were late as well. Cause: http.ReadResponse has no limit on lines and header fields. The error is not an end of the connection, so it does not count as a crash.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -148,8 +148,10 @@
 // readLoop reads responses until the connection ends or the endpoint announces
 // that it closes it.
 func (c *conn) readLoop() {
-	br := bufio.NewReaderSize(c.Conn, 4<<10)
+	limiter := &headLimiter{Reader: c.Conn}
+	br := bufio.NewReaderSize(limiter, 4<<10)
 	for {
+		limiter.startHead()
 		if _, err := br.Peek(1); err != nil {
 			c.fail(err)
 			return
@@ -160,7 +162,7 @@
 			c.fail(errUnsolicited)
 			return
 		}
-		res, err := c.read(br, w)
+		res, err := c.read(br, limiter, w)
 		if err != nil {
 			c.fail(err)
 			return
@@ -185,8 +187,9 @@
 
 // read reads one response. The result is nil for an interim response and for one
 // that belongs to an earlier request.
-func (c *conn) read(br *bufio.Reader, w *pendingExchange) (*Result, error) {
+func (c *conn) read(br *bufio.Reader, limiter *headLimiter, w *pendingExchange) (*Result, error) {
 	resp, err := http.ReadResponse(br, w.req)
+	limiter.endHead()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -29,6 +29,10 @@
 }{
 	"lines":                {"", "garbage\r\n", true},
 	"empty lines":          {"", "\r\n", true},
+	"status line":          {"HTTP/1.1 200 ", "O", false},
+	"header field":         {okHead + "X-A: ", "a", false},
+	"header fields":        {okHead, "A:b\r\n", false},
+	"continued field":      {okHead + "X-A: a\r\n", " a\r\n", false},
 	"body until close":     {okHead + "\r\n", "a", false},
 	"body of 1 EB":         {okHead + "Content-Length: 1000000000000000000\r\n\r\n", "a", true},
 	"chunks":               {okHead + "Transfer-Encoding: chunked\r\n\r\n", "40\r\n" + strings.Repeat("a", 64) + "\r\n", false},
