exchange: accept responses to HEAD that state a length

Seen: a HEAD request whose response had a Content-Length got 502, or a second attempt that failed in the same way, and the endpoint counted as failing. Cause: the length was taken for that of a body, but a response to HEAD has none. Change: a response without a body is complete after its head. Evidence: rows "HEAD" of TestEndlessBytesAfterAResponse. Before, the outcome was unknown, with unexpected EOF, or the size limit for a length of 100 MB. Measured: both are answered.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -242,6 +242,9 @@
 
 // readBody reads the whole body of a response.
 func readBody(resp *http.Response) ([]byte, error) {
+	if resp.Body == http.NoBody {
+		return nil, nil // The length in a response to HEAD is that of GET.
+	}
 	if resp.ContentLength > maxResponseBytes {
 		return nil, errTooLarge
 	}
