exchange: limit the memory of responses that are being read

Seen: 96 concurrent responses that declared 8 MB and sent little, that sent 7 MB and then went on slowly, or that sent a body without end took more memory than a machine of 136 MB has, with the runtime's limit set as there. Cause: a body's buffer had the declared length before any byte arrived, and nothing limited the sum of the buffers. Change: the buffer grows with the bytes that arrive. Beyond 64 KB of each body (freeBodyBytes), the bodies being read from one endpoint may hold 16 MB (maxEndpointBufferedBytes) and those from all 32 MB (maxBufferedBytes); one that needs more fails with an unknown outcome. The largest body is 8 MB as before. Evidence: TestMemoryOfEndlessResponses. TestLargestResponses: 8 MB are answered by length, in chunks and until the connection ends, and a head of 31 KB too; one byte more is not.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -215,7 +214,7 @@
 	if c.pool.client.cfg.RequireFraming && unframed(resp, w.req.Method) {
 		return nil, errUnframed
 	}
-	body, err := readBody(resp)
+	body, err := c.pool.readBody(resp)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -240,31 +239,6 @@
 	return !bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// readBody reads the whole body of a response.
-func readBody(resp *http.Response) ([]byte, error) {
-	if resp.Body == http.NoBody {
-		return nil, nil // The length in a response to HEAD is that of GET.
-	}
-	if resp.ContentLength > maxResponseBytes {
-		return nil, errTooLarge
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		if errors.Is(err, io.EOF) && resp.ContentLength > 0 {
-			err = io.ErrUnexpectedEOF
-		} else if resp.ContentLength == 0 {
-			err = nil
-		}
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if len(body) > maxResponseBytes {
-		return nil, errTooLarge
-	}
-	return body, err
-}
-
 // deliver ends the exchange with a result.
 func (c *conn) deliver(w *pendingExchange, res Result) {
 	c.mu.Lock()
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,6 +21,8 @@
 	cfg      Config
 	protocol EndpointProtocol
 	dial     func(ctx context.Context, addr string) (net.Conn, error)
+	// buffered is the number of bytes of bodies that are being read.
+	buffered atomic.Int64
 
 	mu    sync.Mutex
 	pools map[model.EndpointID]*pool
@@ -44,6 +47,9 @@
 // pool holds the connections to one endpoint.
 type pool struct {
 	client *Client
+	// buffered is the endpoint's part of Client.buffered.
+	buffered atomic.Int64
+
 	mu     sync.Mutex
 	idle   []*conn
 	open   int
