peer: close a connection on a response without a call

Seen: an instance that sent responses to no call without end kept a processor of the calling instance busy. Calls on the connection timed out, but it was not replaced, because something had been read on it. Cause: rpc.Client discards a response with an unknown sequence number and reads on. Change: the connection keeps the sequence numbers of its unanswered calls, including those that have timed out, and fails on any other response. Evidence: row "responses to no call" of TestEndlessResponses. Before, the connection was open after 0.90 s, the end of the test. The other rows (garbage, frames that are too long, or long and slow) passed before as well.

--- a/internal/peer/clientconn.go
+++ b/internal/peer/clientconn.go
@@ -42,6 +42,10 @@
 	in     *frameReader
 	out    *frameEncoder
 
+	// unanswered holds the sequence numbers of the calls that were sent and got
+	// no response. It includes those that have timed out.
+	unansweredMu sync.Mutex
+	unanswered   map[uint64]struct{}
 	// pending counts the calls that wait for a response.
 	pending atomic.Int64
 	// lastRead and lastUse are in nanoseconds since the Unix epoch; zero
@@ -69,6 +73,8 @@
 		out:    newFrameEncoder(),
 		wake:   make(chan struct{}, 1),
 		closed: make(chan struct{}),
+
+		unanswered: map[uint64]struct{}{},
 	}
 	c.lastUse.Store(time.Now().UnixNano())
 	return c
@@ -164,6 +170,9 @@
 	}
 	frame, err := c.out.encode(head, out.args)
 	if err == nil {
+		c.unansweredMu.Lock()
+		c.unanswered[r.Seq] = struct{}{}
+		c.unansweredMu.Unlock()
 		err = c.enqueue(frame)
 	}
 	if err != nil {
@@ -219,6 +228,9 @@
 	if err == nil {
 		err = c.in.dec.Decode(&head)
 	}
+	if err == nil && !c.answers(head.Seq) {
+		err = errUnsolicited
+	}
 	if err != nil {
 		return c.fail(err)
 	}
@@ -230,6 +242,18 @@
 	return nil
 }
 
+// errUnsolicited means that a response belongs to no call.
+const errUnsolicited = errors.ConstError("response without a call")
+
+// answers records a response. It reports whether its call is unanswered.
+func (c *clientConn) answers(seq uint64) bool {
+	c.unansweredMu.Lock()
+	defer c.unansweredMu.Unlock()
+	_, ok := c.unanswered[seq]
+	delete(c.unanswered, seq)
+	return ok
+}
+
 // ReadResponseBody implements rpc.ClientCodec. A nil body discards the result.
 func (c *clientConn) ReadResponseBody(body any) error {
 	if err := c.in.dec.Decode(body); err != nil {
