exchange: do not reuse a connection with data after a response

Seen: when an endpoint sent bytes after a complete response, the next request to it could fail (not sent, or an unknown outcome), and the endpoint then counted as unreachable. Cause: the connection went back to the pool as soon as the response was complete. The reading goroutine found the rest of the data only then, at times after the next request had taken the connection. Change: a connection with buffered data after a response is closed. Evidence: TestBytesAfterAResponseFailNoOtherRequest. Data that arrives after the connection has gone back to the pool, and before the next request, is found when it arrives, which can still be too late; the outcome of that request is then unknown.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -226,7 +226,8 @@
 	if res.Fields.NotRun {
 		res.Outcome = NotRun
 	}
-	if resp.Close {
+	if resp.Close || br.Buffered() > 0 {
+		// Data after the response belongs to no request.
 		res.Header.Set("Connection", "close")
 	}
 	return res, nil
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -161,3 +161,16 @@
 		closed(t, e)
 	}
 }
+
+// TestBytesAfterAResponseFailNoOtherRequest guards against a request that is sent
+// on a connection on which more than the previous response has arrived.
+func TestBytesAfterAResponseFailNoOtherRequest(t *testing.T) {
+	e, to := startEndless(t, standin.Stream{Head: okHead + "Content-Length: 2\r\n\r\nokgarbage", Repeat: "x", Pause: time.Millisecond})
+	client := newEndlessClient()
+	for i := range 300 {
+		if res, _ := doEndless(client, to, "GET", fastTimeout); res.Outcome != exchange.Answered {
+			t.Fatalf("exchange %d: %s, %v", i, res.Outcome, res.Err)
+		}
+	}
+	closed(t, e)
+}
