exchange: use another connection if an idle one closes before it is used

Seen: a call that took an idle connection at the moment at which the endpoint closed it, or sent data on it, failed as not sent. The endpoint then counted as unreachable and got no requests until a probe. Cause: the connection was taken from the pool before it was found closed. Change: Do takes another connection or opens one. Nothing was sent, so this is no repetition of the request. Evidence: TestConnectionClosedWhileIdle failed before: outcome not-sent.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -212,12 +212,17 @@
 // Do sends the call to the endpoint and waits for the response. If the context
 // ends first, Do closes the connection.
 func (c *Client) Do(ctx context.Context, to Target, call *Call) Result {
-	conn, dial, err := c.acquire(ctx, to, call)
-	if err != nil {
-		return Result{Outcome: NotSent, Err: err, DialTime: dial}
+	for {
+		conn, dial, err := c.acquire(ctx, to, call)
+		if err != nil {
+			return Result{Outcome: NotSent, Err: err, DialTime: dial}
+		}
+		reused := conn.served > 0
+		res := conn.exchange(ctx, call, c.encodeRequest(to, call))
+		if reused && errors.Is(res.Err, errConnClosed) {
+			continue // Closed while idle, which does not concern the call.
+		}
+		res.Reused, res.DialTime, res.RoundTrip = reused, dial, conn.roundTrip
+		return res
 	}
-	reused := conn.served > 0
-	res := conn.exchange(ctx, call, c.encodeRequest(to, call))
-	res.Reused, res.DialTime, res.RoundTrip = reused, dial, conn.roundTrip
-	return res
 }
--- /dev/null
+++ b/internal/exchange/idle_test.go
@@ -0,0 +1,37 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+type noFields struct{}
+
+func (noFields) Write(http.Header, RequestFields)         {}
+func (noFields) Read(int, http.Header) (f ResponseFields) { return f }
+func (noFields) RequestID(http.Header) string             { return "" }
+
+// TestConnectionClosedWhileIdle guards against a call that fails as not sent
+// because its idle connection closes just before it is used.
+func TestConnectionClosedWhileIdle(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	c := New(Default(), noFields{})
+	to := Target{ID: "e1", Addr: netip.MustParseAddrPort(s.Listener.Addr().String())}
+	defer c.Drop(to.ID)
+	closed, other := net.Pipe()
+	_, _ = closed.Close(), other.Close()
+	p := c.pool(to.ID)
+	p.reserve(0)
+	p.idle = append(p.idle, &conn{Conn: closed, pool: p, served: 1, closed: true, idleUntil: time.Now().Add(time.Hour), lastUse: time.Now()})
+	call := &Call{Method: "GET", Target: "/", Host: "h", Deadline: time.Now().Add(time.Second)}
+	if res := c.Do(context.Background(), to, call); res.Outcome != Answered || errors.Is(res.Err, errConnClosed) {
+		t.Errorf("outcome %s, %v, want answered", res.Outcome, res.Err)
+	}
+}
