exchange: bound the keep-alive timeout of endpoints

Seen: Keep-Alive: timeout= counted as 0.29 s, and the largest integer as -1 s. Cause: the conversion from seconds overflowed. Change: maxKeepAliveSeconds, 600 s, before the conversion. Evidence: TestAbsurdKeepAlive failed before for these two values. Retry-After, the load reports of package wire and the store's times were bounded already.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -122,13 +122,17 @@
 	return strings.EqualFold(h.Get("Connection"), "close")
 }
 
+// maxKeepAliveSeconds bounds the time for which an idle connection is kept,
+// whatever the endpoint announces.
+const maxKeepAliveSeconds = 600
+
 // keepAliveTimeout returns how long the endpoint keeps an idle connection, from
 // its Keep-Alive header field, or 0 if it does not say.
 func keepAliveTimeout(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		if v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
 			if s, err := strconv.Atoi(v); err == nil && s > 0 {
-				return time.Duration(s) * time.Second
+				return time.Duration(min(s, maxKeepAliveSeconds)) * time.Second
 			}
 		}
 	}
--- a/internal/exchange/idle_test.go
+++ b/internal/exchange/idle_test.go
@@ -35,3 +35,14 @@
 		t.Errorf("outcome %s, %v, want answered", res.Outcome, res.Err)
 	}
 }
+
+// TestAbsurdKeepAlive guards against keep-alive timeouts that overflow.
+func TestAbsurdKeepAlive(t *testing.T) {
+	for value, want := range map[string]time.Duration{"timeout=5": 5 * time.Second, "max=3, timeout=5": 5 * time.Second,
+		"timeout=9223372036854775807": 10 * time.Minute, "timeout=18446744074": 10 * time.Minute, "timeout=9223372036854775808": 0,
+		"timeout=1e300": 0, "timeout=NaN": 0, "timeout=-5": 0, "timeout=0": 0, "": 0} {
+		if got := keepAliveTimeout(http.Header{"Keep-Alive": {value}}); got != want {
+			t.Errorf("%q: %s, want %s", value, got, want)
+		}
+	}
+}
