configsync: keep accepted edits across restores of the store

Operators would see rules that never agree, or an accepted edit that is gone.

The model also began the grace period of a fork anew at each synchronization, so that it never ended.

A document names the era and the store's revision that its write replaced. These positions are unique within an era and order the documents in force. A document in the store whose era is not that of the read comes from a copy or from a call that was sent before the restore; a relay then writes the newest document of a majority of the relays, without those that have restarted and not synced since. Editors read the store before they ask the relays, take a swap that was executed in another era for unknown, and report an edit as accepted only if the store did not change while the relays confirmed it. A document of another branch that comes from a neighbour waits for the grace period even if it is newer.

--- a/cmd/jujubectl/apply.go
+++ b/cmd/jujubectl/apply.go
@@ -77,18 +77,18 @@
 	if err != nil {
 		return err
 	}
-	text, base, hasBase, err := c.app.readFile(args[0])
+	text, base, err := c.app.readFile(args[0])
 	if err != nil {
 		return err
 	}
 	if _, err := rules.Parse(text); err != nil {
-		return rulesProblem(err, hasBase)
+		return rulesProblem(err, base.known)
 	}
 	before, err := rulesInForce(ctx, client)
 	if err != nil {
 		return err
 	}
-	if base, err = c.chooseBase(base, hasBase, before); err != nil {
+	if base, err = c.chooseBase(base, before); err != nil {
 		return err
 	}
 	if before.Revision > 0 && before.Text == text {
@@ -97,7 +97,9 @@
 		})
 		return nil
 	}
-	reply, err := client.Edit(ctx, control.EditRequest{Text: text, Author: c.app.author, Base: base, EditID: newEditID()})
+	reply, err := client.Edit(ctx, control.EditRequest{
+		Text: text, Author: c.app.author, Base: base.revision, BaseEditID: base.editID, EditID: newEditID(),
+	})
 	if err != nil {
 		return err
 	}
@@ -120,14 +122,14 @@
 // chooseBase returns the base revision of the edit, from the flag or the file.
 // Without either it returns an error instead of using the revision in force,
 // because the text may lack what another operator has added since it was read.
-func (c *applyCommand) chooseBase(base uint64, hasBase bool, before control.Rules) (uint64, error) {
+func (c *applyCommand) chooseBase(base baseRevision, before control.Rules) (baseRevision, error) {
 	switch {
 	case c.base >= 0:
-		return uint64(c.base), nil
-	case hasBase || before.Revision == 0:
+		return baseRevision{revision: uint64(c.base)}, nil
+	case base.known || before.Revision == 0:
 		return base, nil
 	}
-	return 0, usageError(fmt.Sprintf("the file does not say which revision it is based on: edit the output of rules show, or give -base (revision %d is in force)", before.Revision))
+	return base, usageError(fmt.Sprintf("the file does not say which revision it is based on: edit the output of rules show, or give -base (revision %d is in force)", before.Revision))
 }
 
 // awaitConfirmation polls the status until the revision is in force on all known
--- a/cmd/jujubectl/rules.go
+++ b/cmd/jujubectl/rules.go
@@ -49,15 +49,30 @@
 	return commands.Execute(ctx)
 }
 
+// baseRevision is the revision on which a file of rules is based, from its base
+// line.
+type baseRevision struct {
+	// known is whether the file has a base line.
+	known    bool
+	revision uint64
+	// editID is empty if the base line has only a revision.
+	editID string
+}
+
+// String returns the base line.
+func (b baseRevision) String() string {
+	return strings.TrimSpace(fmt.Sprintf("%s%d %s", baseLine, b.revision, b.editID))
+}
+
 // readFile returns the rules in a file, or on standard input if name is "-", and
-// the revision in the base line. It reports whether there is a base line.
-func (a *app) readFile(name string) (text string, base uint64, hasBase bool, err error) {
+// the revision in the base line.
+func (a *app) readFile(name string) (text string, base baseRevision, err error) {
 	var b []byte
 	in := a.in
 	if name != "-" {
 		file, err := os.Open(name)
 		if err != nil {
-			return "", 0, false, errors.Trace(err)
+			return "", base, errors.Trace(err)
 		}
 		defer file.Close()
 		in = file
@@ -66,19 +81,21 @@
 	// a text that is too long.
 	b, err = io.ReadAll(io.LimitReader(in, rules.MaxStoredBytes+1))
 	if err != nil {
-		return "", 0, false, errors.Trace(err)
+		return "", base, errors.Trace(err)
 	}
 	text = string(b)
 	first, rest, _ := strings.Cut(text, "\n")
-	number, found := strings.CutPrefix(first, baseLine)
+	fields, found := strings.CutPrefix(first, baseLine)
 	if !found {
-		return text, 0, false, nil
+		return text, base, nil
 	}
-	base, err = strconv.ParseUint(strings.TrimSpace(number), 10, 63)
+	number, editID, _ := strings.Cut(strings.TrimSpace(fields), " ")
+	base = baseRevision{known: true, editID: editID}
+	base.revision, err = strconv.ParseUint(number, 10, 63)
 	if err != nil {
-		return "", 0, false, errors.Errorf("%s: the base line %q has no revision", name, first)
+		return "", base, errors.Errorf("%s: the base line %q has no revision", name, first)
 	}
-	return rest, base, true, nil
+	return rest, base, nil
 }
 
 // rulesProblem converts the errors of a local check to the problem that an
@@ -104,13 +121,13 @@
 		if err != nil {
 			return err
 		}
-		text, _, hasBase, err := a.readFile(args[0])
+		text, base, err := a.readFile(args[0])
 		if err != nil {
 			return err
 		}
 		set, err := rules.Parse(text)
 		if err != nil {
-			return rulesProblem(err, hasBase)
+			return rulesProblem(err, base.known)
 		}
 		result := struct {
 			Valid    bool `json:"valid"`
@@ -145,7 +162,7 @@
 			a.writeJSON(a.out, r)
 			return nil
 		}
-		_, err = fmt.Fprintf(a.out, "%s%d\n%s", baseLine, r.Revision, r.Text)
+		_, err = fmt.Fprintf(a.out, "%s\n%s", baseRevision{revision: r.Revision, editID: r.EditID}, r.Text)
 		return err
 	}}
 }
@@ -240,7 +257,7 @@
 		return "", "", notRevision
 	}
 	if notRevision != nil {
-		if to, _, _, err = a.readFile(args[0]); err != nil {
+		if to, _, err = a.readFile(args[0]); err != nil {
 			return "", "", err
 		}
 		inForce, err := a.rules(ctx, 0)
--- a/internal/configsync/document.go
+++ b/internal/configsync/document.go
@@ -22,11 +22,25 @@
 // other branch as overruled, so that instances on either branch accept it. Two
 // branches cannot both have a majority, so an accepted edit is not overruled.
 //
-// An accepted edit can still be lost if a restore of the store coincides with
-// the loss of relays that had the edit in force (by a restart, lost contact, or
-// a change of relays). This can happen before a relay has written the document
-// back, or while an edit is in progress that began before the restore: its
-// swap may succeed on a revision number that the store uses a second time.
+// # Restores of the store
+//
+// A store that reports its era makes these rules stricter. Each document carries
+// the era in which the store was read for its write and the store's revision that
+// it replaced (Position). A document whose era is that of the read is certified: it
+// was written after the last restore. Any other document in the store comes from a
+// backup, or from a call that was sent before the restore and took effect after it,
+// when the store used the expected revision for a second time. Then a relay queries
+// the other relays, and writes the newest document of a majority to the store with
+// a new position. Relays that have restarted and not synced since do not count, so
+// that each accepted edit is known to one of the majority. The documents in force
+// are ordered by position. An edit is accepted only if the store has not changed
+// while the relays confirmed it.
+//
+// An accepted edit is lost if the store is restored to a backup without it and half
+// or more of the relays restart before one of them has synced: no process has it any
+// more. With a store that reports no eras, it can also be lost if one relay restarts
+// before another has written the edit back, or by a swap that was sent before the
+// restore. A change of relays has the effect of a restart.
 package configsync
 
 import (
@@ -102,7 +116,10 @@
 	Time     time.Time `json:"time"`
 	// Lineage lists up to maxLineage ancestors, the oldest first.
 	Lineage []Ancestor `json:"lineage,omitempty"`
-	Hash    Hash       `json:"-"`
+	// Position is that of the latest write of the document. It is not part of
+	// the hash, because a document is written again after a restore.
+	Position Position `json:"position,omitzero"`
+	Hash     Hash     `json:"-"`
 }
 
 // Document is one revision of the rules file.
@@ -219,12 +236,18 @@
 	forked
 )
 
-// relate compares h with the document in force. If the lineage does not reach
-// back to the revision in force, the document with the higher revision counts
-// as a descendant. This happens only after more than maxLineage edits or for a
-// document that was written by hand.
+// relate compares h with the document in force, by position if both have one and
+// by lineage otherwise. If the lineage does not reach back to the revision in
+// force, the document with the higher revision counts as a descendant. This
+// happens only after more than maxLineage edits or for a document that was written
+// by hand.
 func (h Head) relate(inForce Head) relation {
+	order := h.Position.compare(inForce.Position)
 	switch {
+	case order > 0 && (inForce.Position.known() || h.Hash == inForce.Hash):
+		return newer
+	case order < 0 && (h.Position.known() || h.Hash == inForce.Hash):
+		return older
 	case h.Hash == inForce.Hash:
 		return same
 	case inForce.Revision == 0:
@@ -268,6 +291,19 @@
 	})
 }
 
+// precededBy reports whether other is no document, h itself or an ancestor of h,
+// overruled or not.
+func (h Head) precededBy(other Head) bool {
+	return other.Revision == 0 || h.Hash == other.Hash || h.hasAncestor(other) ||
+		other.Revision < h.Revision && h.lineageStartsAfter(other.Revision)
+}
+
+// continues reports whether other is no document, h itself, or an ancestor of h that
+// h has not overruled.
+func (h Head) continues(other Head) bool {
+	return h.precededBy(other) && (other.Revision == 0 || h.statusOf(other.EditID) != editOverruled)
+}
+
 // editStatus is what became of an edit according to a later document.
 type editStatus int
 
--- a/internal/configsync/driver.go
+++ b/internal/configsync/driver.go
@@ -83,8 +83,8 @@
 	Report  func(Event)
 
 	failures int
-	// forkSince is when the current fork between the store and this instance was
-	// first detected, or zero.
+	// forkSince is when the current fork between the store and this instance, or
+	// a restore of the store, was first detected, or zero.
 	forkSince time.Time
 	// reportedInvalid is the store revision of the last invalid value that was
 	// reported, so that each is reported once.
@@ -124,7 +124,7 @@
 	}
 	switch {
 	case ctx.Err() != nil:
-	case errors.Is(err, errForkUnresolved):
+	case errors.Is(err, errForkUnresolved), errors.Is(err, errStoreRestored):
 		sleep(ctx, forkRetryDelay)
 	case err != nil:
 		d.backOff(ctx, err)
@@ -170,7 +170,7 @@
 		return 0, errors.Trace(err)
 	}
 	revision, err := d.reconcile(ctx, kv, stored, d.State.Document())
-	if err == nil {
+	if err == nil && d.IsRelay() {
 		d.State.setSynced(true)
 	}
 	return revision, err
@@ -179,17 +179,24 @@
 // reconcile applies the stored document, writes the local one back, or resolves
 // a fork, depending on how the two documents relate.
 func (d *Driver) reconcile(ctx context.Context, kv store.KeyValue, stored, local Document) (store.Revision, error) {
+	if stored.needsRecovery(kv, local.Head) {
+		return d.recover(ctx, kv, stored)
+	}
 	switch stored.relate(local.Head) {
 	case newer:
-		v, err := d.State.Apply(stored)
+		v, err := d.State.adopt(stored)
 		if err != nil {
 			d.reportInvalid(kv, err)
 		}
-		if v == Applied {
+		if v == Applied && stored.Hash != local.Hash {
 			d.report(Event{Kind: EventInForce, Stored: stored.Head})
 		}
 		return kv.Revision, nil
 	case older:
+		if stored.certified(kv) {
+			// The local document was written after the read.
+			return kv.Revision, nil
+		}
 		return d.writeBack(ctx, kv, local, Event{Kind: EventStoreBehind, Stored: stored.Head})
 	case forked:
 		return d.resolveFork(ctx, kv, stored, local)
@@ -198,6 +205,9 @@
 	if other, stale := d.State.unresolvedFork(); stale {
 		return d.writeBack(ctx, kv, local.reissue(other), Event{Kind: EventForked, Stored: stored.Head})
 	}
+	if kv.Era > 0 && stored.Revision > 0 && !stored.certified(kv) {
+		return d.writeBack(ctx, kv, local, Event{})
+	}
 	return kv.Revision, nil
 }
 
@@ -215,10 +225,7 @@
 	if !d.IsRelay() {
 		return kv.Revision, nil
 	}
-	now := d.State.now()
-	if d.forkSince.IsZero() {
-		d.forkSince = now
-	}
+	graceOver := d.graceOver()
 	heads, queried := d.Relays.Heads(ctx)
 	ours, theirs := 0, 0
 	if d.State.Synced() {
@@ -233,7 +240,7 @@
 		}
 	}
 	total := queried + 1
-	if 2*max(ours, theirs) <= total && now.Sub(d.forkSince) < forkGracePeriod {
+	if 2*max(ours, theirs) <= total && !graceOver {
 		return 0, errForkUnresolved
 	}
 	winner, loser := stored, local
@@ -246,13 +253,14 @@
 	return d.writeBack(ctx, kv, winner.reissue(loser.Head), Event{Kind: EventForked, Stored: stored.Head})
 }
 
-// writeBack writes a document to the store and puts it in force. If the store
-// has changed since it was read, nothing is done and the next synchronization
-// compares again.
+// writeBack writes a document to the store, puts it in force, and reports the
+// event if it has a kind. If the store has changed since it was read, nothing is
+// done and the next synchronization compares again.
 func (d *Driver) writeBack(ctx context.Context, kv store.KeyValue, doc Document, e Event) (store.Revision, error) {
 	if !d.IsRelay() {
 		return kv.Revision, nil
 	}
+	doc.Position = positionAfter(kv)
 	value, err := doc.Encode()
 	if err != nil {
 		return 0, errors.Trace(err)
@@ -261,10 +269,16 @@
 	if err != nil || !res.Swapped {
 		return kv.Revision, errors.Trace(err)
 	}
-	if _, err := d.State.Apply(doc); err != nil {
+	if res.Current.Era != kv.Era {
+		return 0, errStoreRestored
+	}
+	if _, err := d.State.adopt(doc); err != nil {
 		return 0, errors.Trace(err)
 	}
-	d.report(e)
+	d.forkSince = time.Time{}
+	if e.Kind != "" {
+		d.report(e)
+	}
 	return res.Current.Revision, nil
 }
 
@@ -273,7 +287,7 @@
 func read(ctx context.Context, s store.Store) (store.KeyValue, Document, error) {
 	kv, err := s.Get(ctx, Key)
 	if errors.Is(err, store.ErrNotFound) {
-		return store.KeyValue{Key: Key}, Document{}, nil
+		return store.KeyValue{Key: Key, Era: kv.Era}, Document{}, nil
 	}
 	if err != nil {
 		return store.KeyValue{}, Document{}, errors.Trace(err)
--- a/internal/configsync/edit.go
+++ b/internal/configsync/edit.go
@@ -45,11 +45,20 @@
 	Author string
 	// Base is the revision that the operator edited, or 0 if there was none.
 	Base uint64
+	// BaseEditID is the edit ID of that revision, or "" if it is not known. After
+	// a restore of the store, a revision that was not accepted before is assigned
+	// to another edit.
+	BaseEditID string
 	// EditID is chosen at random by the operator's client. Requests with the
 	// same ID are attempts of the same edit.
 	EditID string
 }
 
+// basedOn reports whether the edit is based on the document.
+func (r Request) basedOn(h Head) bool {
+	return r.Base == h.Revision && (r.BaseEditID == "" || r.BaseEditID == h.EditID)
+}
+
 // Result is the outcome of an edit with its details.
 type Result struct {
 	Outcome Outcome
@@ -102,16 +111,17 @@
 			return e.unknownIfUncertain(uncertain, *failed)
 		}
 		if base.existing != nil {
-			return e.confirm(ctx, r, Document{}, *base.existing)
+			return e.confirm(ctx, r, Document{}, *base.existing, writtenAt{})
 		}
 		doc := base.doc.edit(r, e.Now(), base.highestRevision)
+		doc.Position = positionAfter(base.kv)
 		w := e.write(ctx, base.kv.Revision, doc)
 		uncertain = uncertain || w.uncertain
 		switch {
 		case w.failed != nil:
 			return e.unknownIfUncertain(uncertain, *w.failed)
 		case w.written:
-			return e.confirm(ctx, r, base.doc, doc)
+			return e.confirm(ctx, r, base.doc, doc, w.at)
 		}
 	}
 	return e.unknownIfUncertain(uncertain, Result{Outcome: Unavailable, Detail: "the store changed during each of several attempts; try again"})
@@ -156,33 +166,26 @@
 	existing *Document
 }
 
-// prepare updates this instance and the store to the newest document that the
-// store or a relay has, and compares its revision with the operator's base.
+// prepare updates this instance to the newest document that the store or a relay
+// has, and compares its revision with the operator's base. The store is read before
+// the relays are queried: the write succeeds only if the store has not changed since
+// then, so that it follows each document that was accepted before it.
 func (e *Editor) prepare(ctx context.Context, r Request) (editBase, *Result) {
-	unavailable := func(format string, args ...any) (editBase, *Result) {
-		return editBase{}, &Result{Outcome: Unavailable, Detail: fmt.Sprintf(format, args...)}
-	}
-	if err := e.catchUp(ctx); err != nil {
-		return unavailable("%v; try again", err)
-	}
 	kv, stored, err := read(ctx, e.Store)
 	if err != nil && !errors.Is(err, ErrMalformed) {
-		return unavailable("the store does not answer: %v; try again later", err)
+		return editBase{}, unavailable("the store does not answer: %v; try again later", err)
 	}
-	local := e.State.Document()
-	switch stored.relate(local.Head) {
-	case newer:
-		if v, err := e.State.Apply(stored); err == nil && v == Rejected {
-			return unavailable("two documents of revision %d are being reconciled; try again", stored.Revision)
-		}
-		local = e.State.Document()
-	case forked:
-		return unavailable("two documents of revision %d are being reconciled; try again", stored.Revision)
-	case older:
-		// A malformed value counts as older: here the document in force replaces
-		// it.
-		if kv, err = e.writeBack(ctx, kv, local); err != nil {
-			return unavailable("the store is behind and cannot be written: %v; try again", err)
+	recovering := stored.needsRecovery(kv, e.State.Head())
+	local, err := e.catchUp(ctx, recovering)
+	if err != nil {
+		return editBase{}, unavailable("%v; try again", err)
+	}
+	// After a restore, the edit itself brings the newest document of the relays back
+	// to the store.
+	if !recovering {
+		var failed *Result
+		if kv, local, failed = e.matchStore(ctx, kv, stored, local); failed != nil {
+			return editBase{}, failed
 		}
 	}
 	b := editBase{kv: kv, doc: local, highestRevision: max(local.Revision, stored.Revision)}
@@ -190,14 +193,45 @@
 		b.existing = &local
 		return b, nil
 	}
-	if r.Base != local.Revision {
+	if !r.basedOn(local.Head) {
 		return b, e.conflict(ctx, r, local)
 	}
 	return b, nil
 }
 
+func unavailable(format string, args ...any) *Result {
+	return &Result{Outcome: Unavailable, Detail: fmt.Sprintf(format, args...)}
+}
+
+// matchStore applies the stored document or writes the local one back, whichever is
+// older.
+func (e *Editor) matchStore(ctx context.Context, kv store.KeyValue, stored, local Document) (store.KeyValue, Document, *Result) {
+	if stored.needsRecovery(kv, local.Head) {
+		return kv, local, unavailable("the store was restored and does not have revision %d yet; try again", local.Revision)
+	}
+	switch stored.relate(local.Head) {
+	case newer:
+		if v, err := e.State.Apply(stored); err == nil && v == Rejected {
+			return kv, local, unavailable("two documents of revision %d are being reconciled; try again", stored.Revision)
+		}
+		return kv, e.State.Document(), nil
+	case forked:
+		return kv, local, unavailable("two documents of revision %d are being reconciled; try again", stored.Revision)
+	case older:
+		// A malformed value counts as older: here the document in force replaces
+		// it.
+		written, err := e.writeBack(ctx, kv, local)
+		if err != nil {
+			return kv, local, unavailable("the store is behind and cannot be written: %v; try again", err)
+		}
+		return written, local, nil
+	}
+	return kv, local, nil
+}
+
 // writeBack writes the document in force to a store that has an older one.
 func (e *Editor) writeBack(ctx context.Context, kv store.KeyValue, local Document) (store.KeyValue, error) {
+	local.Position = positionAfter(kv)
 	value, err := local.Encode()
 	if err != nil {
 		return kv, errors.Trace(err)
@@ -206,37 +240,34 @@
 	if err != nil {
 		return kv, errors.Trace(err)
 	}
-	if !res.Swapped {
+	if !res.Swapped || res.Current.Era != kv.Era {
 		return kv, errors.New("it changed meanwhile")
 	}
 	e.Report(Event{Kind: EventStoreBehind, InForce: local.Head})
 	return res.Current, nil
 }
 
-// catchUp applies the newest document that a relay has. It fails unless at
-// least half of the relays respond and all documents are on one branch.
-func (e *Editor) catchUp(ctx context.Context) error {
+// catchUp returns the newest document that this instance or a relay has, and puts it
+// in force unless the store is recovering from a restore. It fails unless all
+// documents are on one branch and at least half of the relays respond, or more than
+// half if the store is recovering.
+func (e *Editor) catchUp(ctx context.Context, recovering bool) (Document, error) {
 	heads, queried := e.Relays.Heads(ctx)
-	if n, total := e.countSelf(len(heads), queried); total == 0 || 2*n < total {
-		return errors.Errorf("only %d of %d relays answer", n, total)
+	n, total := e.countSelf(len(heads), queried)
+	if total == 0 || 2*n < total || recovering && 2*n == total {
+		return Document{}, errors.Errorf("only %d of %d relays answer", n, total)
 	}
-	for _, h := range heads {
-		r := h.Head.relate(e.State.Head())
-		if r == forked {
-			return errors.Errorf("two documents of revision %d are being reconciled", h.Head.Revision)
-		}
-		if r != newer {
-			continue
-		}
-		d, err := e.Relays.Fetch(ctx, h.From)
-		if err != nil {
-			return errors.Annotatef(err, "revision %d cannot be read from %s", h.Head.Revision, h.From)
-		}
-		if v, err := e.State.Apply(d); err != nil || v == Rejected {
-			return errors.Errorf("revision %d of %s is not usable here", d.Revision, h.From)
-		}
+	doc, err := newestOf(ctx, e.State.Document(), e.Relays, heads)
+	if errors.Is(err, errForkUnresolved) {
+		return doc, errors.Annotate(err, "two documents are being reconciled")
+	}
+	if err != nil || recovering {
+		return doc, errors.Trace(err)
 	}
-	return nil
+	if v, err := e.State.Apply(doc); err != nil || v == Rejected {
+		return doc, errors.Errorf("revision %d is not usable here", doc.Revision)
+	}
+	return e.State.Document(), nil
 }
 
 // countSelf takes the number of other relays that responded and that were
@@ -259,13 +290,17 @@
 		res.Detail = fmt.Sprintf("the edit is based on revision %d, but the newest is %d", r.Base, winner.Revision)
 		return res
 	}
+	if r.Base == winner.Revision {
+		res.Detail = fmt.Sprintf("revision %d is edit %s, not edit %s, on which this edit is based", winner.Revision, winner.EditID, r.BaseEditID)
+	} else {
+		res.Detail = fmt.Sprintf("%s saved revision %d after revision %d, on which this edit is based",
+			cmp.Or(winner.Author, "somebody"), winner.Revision, r.Base)
+	}
 	from := r.Text
-	if base, err := HistoryEntry(ctx, e.Store, r.Base); err == nil {
+	if base, err := HistoryEntry(ctx, e.Store, r.Base); err == nil && r.basedOn(base.Head) {
 		from = base.Text
 	}
 	res.Changes = rules.Diff(from, winner.Text)
-	res.Detail = fmt.Sprintf("%s saved revision %d after revision %d, on which this edit is based",
-		cmp.Or(winner.Author, "somebody"), winner.Revision, r.Base)
 	return res
 }
 
@@ -273,14 +308,16 @@
 // the store has changed and the edit must be prepared again.
 type writeResult struct {
 	written bool
-	failed  *Result
+	// at is the state of the store after the write.
+	at     writtenAt
+	failed *Result
 	// uncertain means that a response was lost, so that the edit may have been
 	// written.
 	uncertain bool
 }
 
 // write writes the document with a compare-and-swap. After a lost response it
-// repeats the same swap, which can succeed only once. If the first attempt had
+// repeats the same swap, which can succeed only once in an era. If the first attempt had
 // succeeded, the next prepare finds the edit ID in the store.
 func (e *Editor) write(ctx context.Context, expected store.Revision, doc Document) writeResult {
 	value, err := doc.Encode()
@@ -292,8 +329,12 @@
 		switch {
 		case errors.Is(err, store.ErrTooLarge):
 			return writeResult{failed: &Result{Outcome: Invalid, Detail: err.Error()}}
+		case err == nil && res.Swapped && res.Current.Era != doc.Position.Era:
+			// The store was restored since it was read, so that the write may have
+			// replaced another document.
+			return writeResult{uncertain: true}
 		case err == nil && res.Swapped:
-			return writeResult{written: true}
+			return writeResult{written: true, at: stateOf(res.Current)}
 		case err == nil:
 			return writeResult{uncertain: failures > 0}
 		}
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -128,13 +128,25 @@
 // Apply puts a document in force if it is newer than the current one and
 // descends from it. After forkGracePeriod it also accepts a newer document that
 // does not descend from the current one. An invalid document is an error.
-func (s *State) Apply(d Document) (ApplyResult, error) {
+func (s *State) Apply(d Document) (ApplyResult, error) { return s.apply(d, false) }
+
+// adopt puts a document in force that the store has just had. It does not wait for
+// forkGracePeriod if the position shows that the document is newer.
+func (s *State) adopt(d Document) (ApplyResult, error) { return s.apply(d, true) }
+
+func (s *State) apply(d Document, fromStore bool) (ApplyResult, error) {
 	var set *rules.Set
 	for {
-		from, v := s.evaluate(d)
+		from, v := s.evaluate(d, fromStore)
 		if v != Applied {
 			return v, nil
 		}
+		if from.Hash == d.Hash {
+			if s.setPosition(d.Head) {
+				return Applied, nil
+			}
+			continue
+		}
 		// Parsing and comparing large texts takes milliseconds and is done
 		// without the lock.
 		if set == nil {
@@ -151,17 +163,21 @@
 
 // evaluate returns the document in force and the result that applying d would
 // have. It records a fork.
-func (s *State) evaluate(d Document) (Document, ApplyResult) {
+func (s *State) evaluate(d Document, fromStore bool) (Document, ApplyResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch d.relate(s.inForce.Head) {
-	case same, older:
+	r := d.relate(s.inForce.Head)
+	switch {
+	case r == same || r == older:
 		return s.inForce, Unchanged
-	case forked:
-		s.recordFork(d.Revision, d.Hash)
-		if d.Revision == s.inForce.Revision || !s.graceExpired() {
-			return s.inForce, Rejected
-		}
+	case r == newer && (fromStore || d.precededBy(s.inForce.Head)):
+		return s.inForce, Applied
+	}
+	// A newer document of another branch may have been overruled since a neighbour
+	// has sent it.
+	s.recordFork(d.Revision, d.Hash)
+	if r == forked && d.Revision == s.inForce.Revision || !s.graceExpired() {
+		return s.inForce, Rejected
 	}
 	return s.inForce, Applied
 }
@@ -170,7 +186,7 @@
 func (s *State) compareAndSwap(from, d Document, set *rules.Set, next *documentDelta) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inForce.Hash != from.Hash {
+	if s.inForce.Hash != from.Hash || s.inForce.Position != from.Position {
 		return false
 	}
 	s.deltas = appendDelta(s.deltas, next, len(d.Text))
@@ -184,6 +200,19 @@
 	return true
 }
 
+// setPosition sets the position of the document in force to that of h, if h has
+// the same content and a later position.
+func (s *State) setPosition(h Head) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inForce.Hash != h.Hash || h.Position.compare(s.inForce.Position) <= 0 {
+		return false
+	}
+	s.inForce.Position = h.Position
+	s.needFullText = false
+	return true
+}
+
 // replace sends v to a channel of capacity 1 and discards an older value in it.
 // It does not block, since all senders hold the State's lock.
 func replace[T any](ch chan T, v T) {
--- a/internal/configsync/topic.go
+++ b/internal/configsync/topic.go
@@ -10,7 +10,9 @@
 	"github.com/juju/errors"
 
 	"jujubestile.example/jujubestile/internal/membership"
+	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
+	"jujubestile.example/jujubestile/internal/store"
 )
 
 // topicName is the name of the gossip topic.
@@ -20,8 +22,13 @@
 // some. At 13,000 edits a day they cover the last two minutes.
 const maxDeltas = 16
 
-// digestBytes is the size of a digest: the revision and the hash.
-const digestBytes = 8 + len(Hash{})
+const (
+	// digestBytes is the size of a digest: the revision, the hash and the
+	// position.
+	digestBytes = digestBytesWithoutPosition + 16
+	// digestBytesWithoutPosition is the size of a digest of earlier versions.
+	digestBytesWithoutPosition = 8 + len(Hash{})
+)
 
 var _ membership.Topic = (*State)(nil)
 
@@ -48,19 +55,22 @@
 	Insert []string `json:"i,omitempty"`
 }
 
-// news is the message of the topic. It has either Deltas and the hash of the
-// resulting document, or Doc. It is encoded as JSON, because gob repeats the type
-// descriptions in every message.
+// news is the message of the topic. It has either Doc, or Deltas and the hash and
+// position of the resulting document. Without Deltas, only the position has
+// changed. It is encoded as JSON, because gob repeats the type descriptions in
+// every message.
 type news struct {
-	Deltas []documentDelta `json:"s,omitempty"`
-	Hash   []byte          `json:"h,omitempty"`
-	Doc    *Document       `json:"doc,omitempty"`
+	Deltas   []documentDelta `json:"s,omitempty"`
+	Hash     []byte          `json:"h,omitempty"`
+	Position Position        `json:"p,omitzero"`
+	Doc      *Document       `json:"doc,omitempty"`
 }
 
 // newDocumentDelta returns the delta between two documents. It returns nil if
-// there is no old document or the new text is not larger than the delta.
+// there is no old document, the new text is not larger than the delta, or the
+// revision does not grow, because receivers skip deltas up to their revision.
 func newDocumentDelta(from, to Document) *documentDelta {
-	if from.Revision == 0 {
+	if from.Revision == 0 || to.Revision <= from.Revision {
 		return nil
 	}
 	delta := rules.NewDelta(from.Text, to.Text)
@@ -101,39 +111,65 @@
 // Name implements membership.Topic.
 func (s *State) Name() string { return topicName }
 
-// Digest implements membership.Topic. It returns the revision and the hash of
-// the document in force. The hash is zero if this instance requests
+// Digest implements membership.Topic. It returns the revision, the hash and the
+// position of the document in force. The hash is zero if this instance requests
 // the full text.
 func (s *State) Digest() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := binary.BigEndian.AppendUint64(make([]byte, 0, digestBytes), s.inForce.Revision)
+	h := s.inForce.Head
 	if s.needFullText {
-		return append(b, make([]byte, len(Hash{}))...)
+		h.Hash = Hash{}
 	}
-	return append(b, s.inForce.Hash[:]...)
+	b := binary.BigEndian.AppendUint64(make([]byte, 0, digestBytes), h.Revision)
+	b = append(b, h.Hash[:]...)
+	b = binary.BigEndian.AppendUint64(b, uint64(h.Position.Era))
+	return binary.BigEndian.AppendUint64(b, uint64(h.Position.Replaced))
+}
+
+// parseDigest returns the revision, hash and position in a digest.
+func parseDigest(b []byte) (Head, bool) {
+	if len(b) != digestBytes && len(b) != digestBytesWithoutPosition {
+		return Head{}, false
+	}
+	h := Head{Revision: binary.BigEndian.Uint64(b), Hash: Hash(b[8:digestBytesWithoutPosition])}
+	if p := b[digestBytesWithoutPosition:]; len(p) > 0 {
+		h.Position.Era = model.Era(binary.BigEndian.Uint64(p))
+		h.Position.Replaced = store.Revision(binary.BigEndian.Uint64(p[8:]))
+	}
+	return h, true
 }
 
 // News implements membership.Topic. It returns the deltas since the neighbour's
 // document if they are available and smaller than the text, and the full
 // document otherwise.
 func (s *State) News(digest []byte) []byte {
-	if len(digest) != digestBytes {
+	theirs, ok := parseDigest(digest)
+	if !ok {
 		return nil
 	}
-	revision := binary.BigEndian.Uint64(digest)
-	hash := Hash(digest[8:])
 	s.mu.Lock()
 	s.contacted = true
 	doc, deltas := s.inForce, s.deltas
-	if revision == doc.Revision && revision > 0 && hash != doc.Hash && hash != (Hash{}) {
-		s.recordFork(revision, hash)
+	if doc.forkedFrom(theirs) {
+		s.recordFork(theirs.Revision, theirs.Hash)
 	}
 	s.mu.Unlock()
-	if revision >= doc.Revision {
+	switch {
+	case !doc.ahead(theirs):
 		return nil
+	case doc.Hash == theirs.Hash:
+		return news{Hash: doc.Hash[:], Position: doc.Position}.encode()
 	}
-	return encodeNews(doc, deltasSince(deltas, hash))
+	return encodeNews(doc, deltasSince(deltas, theirs.Hash))
+}
+
+// forkedFrom reports whether a digest shows another document of the same revision
+// and neither is newer than the other.
+func (h Head) forkedFrom(theirs Head) bool {
+	sameRevision := theirs.Revision == h.Revision && h.Revision > 0
+	ordered := h.Position.known() && theirs.Position.known()
+	return sameRevision && !ordered && theirs.Hash != h.Hash && theirs.Hash != Hash{}
 }
 
 // deltasSince returns the delta that applies to the document with the given hash
@@ -152,17 +188,23 @@
 func encodeNews(doc Document, deltas []documentDelta) []byte {
 	n := news{Doc: &doc}
 	if len(deltas) > 0 {
-		n = news{Deltas: deltas, Hash: doc.Hash[:]}
+		n = news{Deltas: deltas, Hash: doc.Hash[:], Position: doc.Position}
 	}
+	b := n.encode()
+	if n.Doc == nil && len(b) > len(doc.Text) {
+		return encodeNews(doc, nil)
+	}
+	return b
+}
+
+// encode returns nil if the message is too large.
+func (n news) encode() []byte {
 	var b bytes.Buffer
 	e := json.NewEncoder(&b)
 	e.SetEscapeHTML(false)
 	if err := e.Encode(n); err != nil || b.Len() > membership.MaxNewsBytes {
 		return nil
 	}
-	if n.Doc == nil && b.Len() > len(doc.Text) {
-		return encodeNews(doc, nil)
-	}
 	return bytes.TrimSpace(b.Bytes())
 }
 
@@ -171,57 +213,63 @@
 	s.mu.Lock()
 	s.contacted = true
 	s.mu.Unlock()
-	v, last, err := s.merge(message)
+	v, offered, err := s.merge(message)
 	if errors.Is(err, rules.ErrDeltaMismatch) {
-		s.requestFullText(last)
+		s.requestFullText(offered)
 	}
 	return v == Applied, errors.Trace(err)
 }
 
-// merge applies the document of a news message. It also returns the revision of
-// that document.
-func (s *State) merge(message []byte) (v ApplyResult, revision uint64, err error) {
+// merge applies the document of a news message. It also returns the revision, hash
+// and position of that document.
+func (s *State) merge(message []byte) (v ApplyResult, offered Head, err error) {
 	if len(message) > membership.MaxNewsBytes {
-		return Unchanged, 0, errors.Annotatef(ErrMalformed, "news of %d bytes", len(message))
+		return Unchanged, offered, errors.Annotatef(ErrMalformed, "news of %d bytes", len(message))
 	}
 	var n news
 	if err := json.Unmarshal(message, &n); err != nil {
-		return Unchanged, 0, errors.Annotate(ErrMalformed, err.Error())
+		return Unchanged, offered, errors.Annotate(ErrMalformed, err.Error())
 	}
 	var doc Document
 	if n.Doc != nil {
 		doc = *n.Doc
 		doc.Hash = doc.hash()
 	} else if doc, err = n.apply(s.Document()); err != nil {
-		return Unchanged, n.lastRevision(), errors.Trace(err)
+		return Unchanged, n.result(), errors.Trace(err)
 	}
 	v, err = s.Apply(doc)
-	return v, doc.Revision, errors.Trace(err)
+	return v, doc.Head, errors.Trace(err)
 }
 
-// lastRevision returns the revision that the deltas lead to, or 0.
-func (n news) lastRevision() uint64 {
-	if len(n.Deltas) == 0 {
-		return 0
+// result returns the revision, hash and position of the document that the deltas
+// lead to.
+func (n news) result() Head {
+	h := Head{Position: n.Position}
+	if len(n.Hash) == len(Hash{}) {
+		h.Hash = Hash(n.Hash)
+	}
+	if len(n.Deltas) > 0 {
+		h.Revision = n.Deltas[len(n.Deltas)-1].Rev
 	}
-	return n.Deltas[len(n.Deltas)-1].Rev
+	return h
 }
 
-// requestFullText makes the next digest request the full text if the revision is
-// newer than the one in force.
-func (s *State) requestFullText(revision uint64) {
+// requestFullText makes the next digest request the full text if the offered
+// document is newer than the one in force.
+func (s *State) requestFullText(offered Head) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.needFullText = s.needFullText || revision > s.inForce.Revision
+	s.needFullText = s.needFullText || offered.ahead(s.inForce.Head)
 }
 
 // apply applies the deltas to doc and returns the resulting document. Deltas up
 // to the revision of doc are skipped.
 func (n news) apply(doc Document) (Document, error) {
-	if len(n.Deltas) == 0 || len(n.Deltas) > maxDeltas || len(n.Hash) != len(Hash{}) {
+	empty := len(n.Deltas) == 0 && !n.Position.known()
+	if empty || len(n.Deltas) > maxDeltas || len(n.Hash) != len(Hash{}) {
 		return Document{}, errors.Annotate(ErrMalformed, "steps")
 	}
-	if n.lastRevision() <= doc.Revision {
+	if !n.result().ahead(doc.Head) {
 		return doc, nil
 	}
 	for _, d := range n.Deltas {
@@ -237,6 +285,7 @@
 	if doc.Hash != Hash(n.Hash) {
 		return Document{}, errors.Annotatef(rules.ErrDeltaMismatch, "hash of revision %d", doc.Revision)
 	}
+	doc.Position = n.Position
 	return doc, nil
 }
 
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -146,8 +146,10 @@
 	Text   string `json:"text"`
 	Author string `json:"author"`
 	// Base is the revision that the edit is based on, 0 for the first edit.
-	Base   uint64 `json:"base_revision"`
-	EditID string `json:"edit_id"`
+	Base uint64 `json:"base_revision"`
+	// BaseEditID is the edit ID of that revision, if it is known.
+	BaseEditID string `json:"base_edit_id,omitempty"`
+	EditID     string `json:"edit_id"`
 }
 
 // EditReply is the response to an accepted edit.
--- a/internal/control/rules.go
+++ b/internal/control/rules.go
@@ -97,7 +97,7 @@
 	// An edit that has begun is completed even if the operator disconnects.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), EditTimeout)
 	defer cancel()
-	res := s.Editor.Edit(ctx, configsync.Request{Text: q.Text, Author: q.Author, Base: q.Base, EditID: q.EditID})
+	res := s.Editor.Edit(ctx, configsync.Request{Text: q.Text, Author: q.Author, Base: q.Base, BaseEditID: q.BaseEditID, EditID: q.EditID})
 	if res.Outcome == configsync.Accepted {
 		writeJSON(w, EditReply{revisionInfo(res.Head)})
 		return
--- a/internal/standin/kv.go
+++ b/internal/standin/kv.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/time/rate"
 
+	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/store"
 )
 
@@ -29,6 +30,7 @@
 	writes *rate.Limiter
 
 	mu      sync.Mutex
+	era     model.Era
 	rev     store.Revision
 	keys    map[string]entry
 	leases  map[store.LeaseID]lease
@@ -78,6 +80,7 @@
 		keys:    make(map[string]entry),
 		leases:  make(map[store.LeaseID]lease),
 		changed: make(chan struct{}),
+		era:     1,
 	}
 }
 
@@ -108,11 +111,13 @@
 	return out
 }
 
-// Restore replaces all keys with those of the snapshot, as a restore from a
-// backup does.
+// Restore replaces all keys with those of the snapshot and begins an era, as a
+// restore from a backup does. Unlike that of the platform's store, it assigns no
+// revision a second time.
 func (k *KV) Restore(snapshot map[string][]byte) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.era++
 	k.keys = make(map[string]entry, len(snapshot))
 	for key, v := range snapshot {
 		k.rev++
@@ -292,9 +297,9 @@
 func (k *KV) lookup(key string) store.KeyValue {
 	e, ok := k.keys[key]
 	if !ok {
-		return store.KeyValue{Key: key}
+		return store.KeyValue{Key: key, Era: k.era}
 	}
-	return store.KeyValue{Key: key, Value: slices.Clone(e.value), Revision: e.rev}
+	return store.KeyValue{Key: key, Value: slices.Clone(e.value), Revision: e.rev, Era: k.era}
 }
 
 func (k *KV) put(key string, value []byte, id store.LeaseID) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/model"
 )
 
 // MaxValueBytes is the largest value that the platform's store accepts.
@@ -25,8 +27,9 @@
 	ErrLeaseExpired = errors.ConstError("lease expired")
 )
 
-// Revision is the store's modification counter of a key. It only serves to detect
-// concurrent writes; it may decrease when the store is restored from a backup.
+// Revision is the store's modification counter of a key. It identifies one state
+// of the key only within an era: after a restore from a backup the store continues
+// with the revisions of the backup and assigns later ones a second time.
 type Revision int64
 
 // Absent is the expected revision of a key that must not exist.
@@ -40,6 +43,9 @@
 	Key      string
 	Value    []byte
 	Revision Revision
+	// Era is the era of the store in which the call was executed, or 0 if the
+	// store does not report eras. List does not set it.
+	Era model.Era
 }
 
 // SwapResult is the result of a compare-and-swap.
@@ -60,7 +66,10 @@
 	// CompareAndSwap writes value if the key's revision equals expected, where
 	// Absent means that the key must not exist. A nil value deletes the key. The
 	// key is removed when the lease ends; with a zero lease it is kept. After
-	// ErrUnavailable the write may or may not have taken effect.
+	// ErrUnavailable the write may or may not have taken effect, or may take
+	// effect later. If the store was restored since the expected revision was
+	// read, the write may succeed on another value. The era in the result then
+	// differs from that of the read.
 	CompareAndSwap(ctx context.Context, key string, expected Revision, value []byte, lease LeaseID) (SwapResult, error)
 	// Grant creates a lease with the given time to live.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
