mirror, serve: log a restored and a compacted store, and where a desired state came from

Callers: nothing changes for them.

Cause: after an outage in which the store came back from an older copy, the log had events 203 and 204 only. Whether the store was away, had compacted its history or was restored, and whether a desired state came from the store or from another instance, could not be told from it.

Change: List, Watch and Position of mirror.Source return a Position, the era and revision of the store. Event 205 (store restored) has the positions of the copy and of the store, event 206 (store history compacted) that of the copy; the events of desired states have the field from. The metrics have store_era, store_restored and store_compacted. Positions are still compared by revision alone.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -41,6 +41,12 @@
 	StoreAvailable = Event{204, "store available again", zerolog.InfoLevel,
 		"The store responds again.",
 		"None."}
+	StoreRestored = Event{205, "store restored", zerolog.WarnLevel,
+		"The store has come back in another era: it was restored from a copy and has lost its last changes. The fields before and store have the era and revision of this instance's copy and of the store, from says who reported it.",
+		"Check that the last edits are in the store again: see the events of desired states and evacuations."}
+	StoreCompacted = Event{206, "store history compacted", zerolog.InfoLevel,
+		"The store no longer has the changes after the revision of this instance's copy. All keys are listed again.",
+		"None."}
 )
 
 // Events of endpoints.
--- a/internal/events/catalogue_serve.go
+++ b/internal/events/catalogue_serve.go
@@ -33,7 +33,7 @@
 		"The caller closed its connection before it got a response. A request that may be repeated is cancelled.",
 		"None."}
 	StateAdopted = Event{821, "desired state adopted", zerolog.InfoLevel,
-		"A newer desired state is in force on this instance.",
+		"A newer desired state is in force on this instance. The field from is store, or the instance that it was fetched from.",
 		"None."}
 	StateRejected = Event{822, "desired state unreadable", zerolog.ErrorLevel,
 		"A desired state cannot be parsed. The last valid one stays in force.",
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -18,7 +18,7 @@
 	Active func() bool
 	// WatchTimeout bounds one Watch call.
 	WatchTimeout time.Duration
-	// VerifyInterval is the time between two comparisons of the revision of the
+	// VerifyInterval is the time between two comparisons of the position of the
 	// source with that of the copy while a watch waits.
 	VerifyInterval time.Duration
 	// BatchDelay is the pause after a watch that returned changes, so that a
@@ -32,6 +32,12 @@
 	// changes are applied; outage is the time since the last response.
 	OnUnavailable func(error)
 	OnAvailable   func(outage time.Duration)
+	// OnCompacted is called when the source no longer has the history after the
+	// position of the copy.
+	OnCompacted func(at Position)
+	// OnRestored is called with the positions of the copy and of the source when
+	// the source responds in another era than that of the copy.
+	OnRestored func(copied, source Position)
 
 	listed           bool
 	unavailableSince time.Time
@@ -90,7 +96,11 @@
 	events, at, err := f.Source.Watch(watch, after, f.watchTimeout())
 	cancel(nil)
 	switch {
-	case v.missedChanges.Load(), errors.Is(err, ErrCompacted):
+	case errors.Is(err, ErrCompacted):
+		f.OnCompacted(after)
+		f.listed = false
+		return nil
+	case v.missedChanges.Load():
 		f.listed = false
 		return nil
 	case err != nil && errors.Is(context.Cause(watch), errInactive):
@@ -99,7 +109,8 @@
 		return errors.Trace(err)
 	}
 	f.sourceResponded()
-	f.Copy.Apply(events, at)
+	f.checkEra(at)
+	f.Copy.Apply("", events, at)
 	if len(events) > 0 {
 		sleep(ctx, f.BatchDelay)
 	}
@@ -112,11 +123,19 @@
 		return errors.Trace(err)
 	}
 	f.sourceResponded()
-	f.Copy.Replace(items, at)
+	f.checkEra(at)
+	f.Copy.Replace("", items, at)
 	f.listed = true
 	return nil
 }
 
+// checkEra reports a change of the source's era.
+func (f *Follower) checkEra(at Position) {
+	if before, changed := f.Copy.recordEra(at.Era); changed {
+		f.OnRestored(before, at)
+	}
+}
+
 // unavailableWatchTimeout bounds a Watch call after a failure. It is short
 // because only the end of the call shows that the source is available again.
 const unavailableWatchTimeout = 200 * time.Millisecond
@@ -142,7 +161,7 @@
 // watches the source.
 const errInactive = errors.ConstError("another instance watches")
 
-// verifier compares the revision of the source with that of the copy while a
+// verifier compares the position of the source with that of the copy while a
 // watch waits.
 type verifier struct {
 	follower *Follower
@@ -167,7 +186,7 @@
 			v.cancel(errInactive)
 			return
 		}
-		now, err := v.follower.Source.Revision(ctx)
+		now, err := v.follower.Source.Position(ctx)
 		if err != nil {
 			v.cancel(err)
 			return
@@ -184,7 +203,7 @@
 	}
 }
 
-func (v *verifier) reached(r Revision) bool {
+func (v *verifier) reached(p Position) bool {
 	at, _ := v.follower.Copy.Position(time.Now())
-	return at >= r
+	return at.Revision >= p.Revision
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -10,15 +10,14 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/model"
 )
 
 // ErrCompacted means that the store no longer has the history after the requested
 // revision.
 const ErrCompacted = errors.ConstError("history is no longer available")
 
-// Revision is the store's modification counter.
-type Revision int64
-
 // Item is one key with its value and the revision of its last change.
 type Item struct {
 	Key      string
@@ -32,30 +31,38 @@
 	Deleted bool
 }
 
+// Batch is a series of changes in order.
+type Batch struct {
+	Events []Event
+	// From is the instance that the changes were fetched from. It is empty if they
+	// come from the store.
+	From model.InstanceID
+}
+
 // Source is the read access to a store that a Follower needs.
 type Source interface {
-	// List returns all items, and a revision up to which they contain every
+	// List returns all items, and a position up to which they contain every
 	// change.
-	List(ctx context.Context) ([]Item, Revision, error)
-	// Watch waits up to wait for changes after the revision. It returns them and
-	// the revision to continue from, or ErrCompacted.
-	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Event, Revision, error)
-	// Revision returns the current revision. It serves to detect a watch that
+	List(ctx context.Context) ([]Item, Position, error)
+	// Watch waits up to wait for changes after the position. It returns them and
+	// the position to continue from, or ErrCompacted.
+	Watch(ctx context.Context, after Position, wait time.Duration) ([]Event, Position, error)
+	// Position returns the current position. It serves to detect a watch that
 	// does not deliver changes.
-	Revision(ctx context.Context) (Revision, error)
+	Position(ctx context.Context) (Position, error)
 }
 
 // Copy is an in-memory copy of a store. It is safe for concurrent use.
 type Copy struct {
 	mu    sync.Mutex
 	items map[string]Item
-	at    Revision
+	at    Position
 	// respondedAt is when the source last responded.
 	respondedAt time.Time
 	// watching is set while a Watch call waits. The TCP keep-alives of its
 	// connection prove that the source is reachable.
 	watching bool
-	notify   func([]Event)
+	notify   func(Batch)
 	// log holds all changes after the revision logFrom.
 	log     []Event
 	logFrom Revision
@@ -67,13 +74,13 @@
 
 // New returns an empty copy. notify is called with the changes in order, while
 // the lock of the copy is not held.
-func New(notify func([]Event)) *Copy {
+func New(notify func(Batch)) *Copy {
 	return &Copy{items: map[string]Item{}, notify: notify}
 }
 
-// Position returns the revision of the copy and how long ago the source last
+// Position returns the position of the copy and how long ago the source last
 // responded. The latter is 0 while a watch waits.
-func (c *Copy) Position(now time.Time) (Revision, time.Duration) {
+func (c *Copy) Position(now time.Time) (Position, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.watching {
@@ -86,11 +93,11 @@
 func (c *Copy) Loaded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.at > 0
+	return c.at.Revision > 0
 }
 
-// Snapshot returns all items and the revision.
-func (c *Copy) Snapshot() ([]Item, Revision) {
+// Snapshot returns all items and the position.
+func (c *Copy) Snapshot() ([]Item, Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make([]Item, 0, len(c.items))
@@ -100,24 +107,24 @@
 	return out, c.at
 }
 
-// Replace replaces the content by a full listing of the store at a revision,
-// unless that is older than the copy's. It reports whether it did.
-func (c *Copy) Replace(items []Item, at Revision) bool {
+// Replace replaces the content by a full listing of the store at a position,
+// unless its revision is older than the copy's. It reports whether it did.
+func (c *Copy) Replace(from model.InstanceID, items []Item, at Position) bool {
 	c.mu.Lock()
-	if at < c.at {
+	if at.Revision < c.at.Revision {
 		c.mu.Unlock()
 		return false
 	}
-	events := c.replaceItems(items, at)
-	if c.at == 0 {
-		c.logFrom = at
+	events := c.replaceItems(items, at.Revision)
+	if c.at.Revision == 0 {
+		c.logFrom = at.Revision
 	} else {
 		c.appendLog(events)
 	}
 	c.at = at
 	c.mu.Unlock()
 	if len(events) > 0 {
-		c.notify(events)
+		c.notify(Batch{Events: events, From: from})
 	}
 	return true
 }
@@ -153,13 +160,13 @@
 	}
 }
 
-// Since returns the changes after a revision, and the revision of the copy. The
+// Since returns the changes after a revision, and the position of the copy. The
 // last result is false if the log does not reach back to the requested
 // revision.
-func (c *Copy) Since(after Revision) ([]Event, Revision, bool) {
+func (c *Copy) Since(after Revision) ([]Event, Position, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if after < c.logFrom || c.at == 0 {
+	if after < c.logFrom || c.at.Revision == 0 {
 		return nil, c.at, false
 	}
 	var out []Event
@@ -171,9 +178,9 @@
 	return out, c.at, true
 }
 
-// Apply applies changes in order and advances the copy to the revision at.
+// Apply applies changes in order and advances the copy to the position at.
 // Changes that the copy already contains are skipped.
-func (c *Copy) Apply(events []Event, at Revision) {
+func (c *Copy) Apply(from model.InstanceID, events []Event, at Position) {
 	c.mu.Lock()
 	applied := events[:0:0]
 	for _, e := range events {
@@ -189,13 +196,23 @@
 		applied = append(applied, e)
 	}
 	c.appendLog(applied)
-	c.at = max(c.at, at)
+	c.at.Revision = max(c.at.Revision, at.Revision)
 	c.mu.Unlock()
 	if len(applied) > 0 {
-		c.notify(applied)
+		c.notify(Batch{Events: applied, From: from})
 	}
 }
 
+// recordEra sets the era of the copy. It returns the position before and whether
+// it was in another era that is known.
+func (c *Copy) recordEra(era model.Era) (Position, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.at
+	c.at.Era = era
+	return before, before.Era != 0 && before.Era != era
+}
+
 // lastResponse returns when the source last responded, or now if it never has.
 func (c *Copy) lastResponse(now time.Time) time.Time {
 	c.mu.Lock()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -49,7 +49,7 @@
 	f()
 }
 
-func (s *source) List(context.Context) ([]Item, Revision, error) {
+func (s *source) List(context.Context) ([]Item, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
@@ -57,34 +57,34 @@
 	for _, it := range s.items {
 		out = append(out, it)
 	}
-	return out, s.at, s.err
+	return out, Position{Revision: s.at}, s.err
 }
 
-func (s *source) Revision(context.Context) (Revision, error) {
+func (s *source) Position(context.Context) (Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.at, s.err
+	return Position{Revision: s.at}, s.err
 }
 
-func (s *source) Watch(ctx context.Context, after Revision, wait time.Duration) ([]Event, Revision, error) {
+func (s *source) Watch(ctx context.Context, after Position, wait time.Duration) ([]Event, Position, error) {
 	s.set(func() { s.watches++ })
 	for end := time.Now().Add(wait); ; {
 		s.mu.Lock()
 		var out []Event
 		if !s.silent {
 			for _, e := range s.history {
-				if e.Revision > after {
+				if e.Revision > after.Revision {
 					out = append(out, e)
 				}
 			}
 		}
-		at, compacted, err := s.at, s.compacted, s.err
+		at, compacted, err := Position{Revision: s.at}, s.compacted, s.err
 		s.mu.Unlock()
 		switch {
 		case err != nil:
-			return nil, 0, err
+			return nil, Position{}, err
 		case compacted:
-			return nil, 0, ErrCompacted
+			return nil, Position{}, ErrCompacted
 		case len(out) > 0:
 			return out, at, nil
 		case time.Now().After(end):
@@ -92,7 +92,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		case <-time.After(2 * time.Millisecond):
 		}
 	}
@@ -111,10 +111,10 @@
 
 func follow(t *testing.T, active bool) *follower {
 	f := &follower{source: newSource(), active: active}
-	f.copy = New(func(events []Event) {
+	f.copy = New(func(b Batch) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		for _, e := range events {
+		for _, e := range b.Events {
 			f.events = append(f.events, fmt.Sprintf("%s=%s %v", e.Key, e.Value, e.Deleted))
 		}
 	})
@@ -127,7 +127,8 @@
 	var group sync.WaitGroup
 	fl := &Follower{Copy: f.copy, Source: f.source, Active: func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.active },
 		WatchTimeout: 10 * time.Second, VerifyInterval: 50 * time.Millisecond, BatchDelay: time.Millisecond, RetryMin: 5 * time.Millisecond, RetryMax: 20 * time.Millisecond,
-		OnUnavailable: func(error) { note("unavailable") }, OnAvailable: func(time.Duration) { note("available") }}
+		OnUnavailable: func(error) { note("unavailable") }, OnAvailable: func(time.Duration) { note("available") },
+		OnCompacted: func(Position) { note("compacted") }, OnRestored: func(Position, Position) { note("restored") }}
 	group.Add(1)
 	go func() { defer group.Done(); fl.Run(ctx) }()
 	f.stop = func() { cancel(); group.Wait() }
@@ -236,32 +237,32 @@
 // Guards against a copy that returns to an older revision because listings and
 // changes arrive out of order.
 func TestCopyNeverGoesBack(t *testing.T) {
-	c := New(func([]Event) {})
-	c.Replace([]Item{{"a", []byte("5"), 5}}, 5)
-	if c.Replace([]Item{{"a", []byte("3"), 3}}, 3) {
+	c := New(func(Batch) {})
+	c.Replace("", []Item{{"a", []byte("5"), 5}}, Position{Revision: 5})
+	if c.Replace("", []Item{{"a", []byte("3"), 3}}, Position{Revision: 3}) {
 		t.Fatal("an older listing was accepted")
 	}
-	c.Apply([]Event{{Item: Item{"a", []byte("4"), 4}}}, 4)
-	c.Apply([]Event{{Item: Item{"b", []byte("7"), 7}}}, 7)
+	c.Apply("", []Event{{Item: Item{"a", []byte("4"), 4}}}, Position{Revision: 4})
+	c.Apply("", []Event{{Item: Item{"b", []byte("7"), 7}}}, Position{Revision: 7})
 	// A listing at revision 7 without b means that b was removed by then.
-	c.Replace([]Item{{"a", []byte("5"), 5}}, 7)
+	c.Replace("", []Item{{"a", []byte("5"), 5}}, Position{Revision: 7})
 	items, at := c.Snapshot()
-	if at != 7 || len(items) != 1 || string(items[0].Value) != "5" {
-		t.Fatalf("items %v at revision %d, want a=5 only at revision 7", items, at)
+	if at.Revision != 7 || len(items) != 1 || string(items[0].Value) != "5" {
+		t.Fatalf("items %v at revision %d, want a=5 only at revision 7", items, at.Revision)
 	}
 }
 
 // Guards against an incomplete list of changes for another instance: if the log
 // does not reach back to its revision, it has to fetch a full copy.
 func TestSince(t *testing.T) {
-	c := New(func([]Event) {})
-	c.Replace([]Item{{"a", []byte("1"), 10}}, 10)
+	c := New(func(Batch) {})
+	c.Replace("", []Item{{"a", []byte("1"), 10}}, Position{Revision: 10})
 	for r := Revision(11); r < 11+2*maxLogLength; r++ {
-		c.Apply([]Event{{Item: Item{"k", []byte(fmt.Sprint(r)), r}}}, r)
+		c.Apply("", []Event{{Item: Item{"k", []byte(fmt.Sprint(r)), r}}}, Position{Revision: r})
 	}
 	last := Revision(10 + 2*maxLogLength)
-	if events, at, ok := c.Since(last - 3); !ok || at != last || len(events) != 3 {
-		t.Fatalf("%d changes up to %d, %v", len(events), at, ok)
+	if events, at, ok := c.Since(last - 3); !ok || at.Revision != last || len(events) != 3 {
+		t.Fatalf("%d changes up to %d, %v", len(events), at.Revision, ok)
 	}
 	if _, _, ok := c.Since(12); ok {
 		t.Fatal("changes since revision 12, to which the log does not reach back")
--- a/internal/serve/changes.go
+++ b/internal/serve/changes.go
@@ -42,13 +42,15 @@
 // Changes is the RPC method that returns the changes after args.After.
 func (s *State) Changes(args ChangesArgs, reply *Changes) error {
 	var covered bool
-	if reply.Events, reply.At, covered = s.in.copy.Since(args.After); !covered && reply.At > args.After {
+	var at mirror.Position
+	if reply.Events, at, covered = s.in.copy.Since(args.After); !covered && at.Revision > args.After {
 		reply.Whole = true
 		var err error
-		if reply.Packed, reply.At, err = s.in.packed.get(s.in.copy); err != nil {
+		if reply.Packed, at, err = s.in.packed.get(s.in.copy); err != nil {
 			return errors.Trace(err)
 		}
 	}
+	reply.At = at.Revision
 	reply.Events = withoutObjects(reply.Events)
 	s.in.applyMu.Lock()
 	reply.Grace = time.Until(s.in.missingGraceUntil)
@@ -120,14 +122,14 @@
 	defer cancel()
 	before, _ := in.copy.Position(time.Now())
 	var c Changes
-	if err := in.peers.Call(ctx, from, stateService+".Changes", ChangesArgs{before}, &c); err != nil {
+	if err := in.peers.Call(ctx, from, stateService+".Changes", ChangesArgs{before.Revision}, &c); err != nil {
 		in.log.Log(events.ChangesFetchFailed).Str("from", string(from)).Err(err).Send()
 		return false
 	}
 	for _, p := range c.Members {
 		in.members.SetListed(p, true)
 	}
-	if c.At <= before {
+	if c.At <= before.Revision {
 		return false
 	}
 	if c.Grace > 0 {
@@ -140,11 +142,11 @@
 			in.log.Log(events.ChangesFetchFailed).Str("from", string(from)).Err(err).Send()
 			return false
 		}
-		in.copy.Replace(items, c.At)
+		in.copy.Replace(from, items, mirror.Position{Era: before.Era, Revision: c.At})
 	} else {
-		in.copy.Apply(c.Events, c.At)
+		in.copy.Apply(from, c.Events, mirror.Position{Era: before.Era, Revision: c.At})
 	}
 	in.log.Log(events.ChangesFetched).Str("from", string(from)).Int64("revision", int64(c.At)).
-		Int64("before", int64(before)).Bool("whole", c.Whole).Int("changes", len(c.Events)).Send()
+		Int64("before", int64(before.Revision)).Bool("whole", c.Whole).Int("changes", len(c.Events)).Send()
 	return true
 }
--- a/internal/serve/listeners.go
+++ b/internal/serve/listeners.go
@@ -188,10 +188,10 @@
 }
 
 // counters holds the instance's own counters for the metrics: answered lookups,
-// outages of the store, fetches of changes from other instances that advanced the
-// copy, and health probes.
+// outages, restores and compactions of the store, fetches of changes from other
+// instances that advanced the copy, and health probes.
 type counters struct {
-	lookups, storeLost, changesFetched, probes expvar.Int
+	lookups, storeLost, storeRestored, storeCompacted, changesFetched, probes expvar.Int
 }
 
 // serveMetrics writes the counters as one JSON object.
@@ -203,7 +203,7 @@
 
 func (in *Instance) vars() map[string]any {
 	now := time.Now()
-	revision, age := in.copy.Position(now)
+	at, age := in.copy.Position(now)
 	v := map[string]any{
 		"requests":         json.RawMessage(in.handler.Metrics().Requests.String()),
 		"latency_ms":       in.handler.Metrics().Latencies(),
@@ -217,7 +217,10 @@
 		"probes":           in.counters.probes.Value(),
 		"store_lost":       in.counters.storeLost.Value(),
 		"snapshots_taken":  in.counters.changesFetched.Value(),
-		"store_revision":   revision,
+		"store_restored":   in.counters.storeRestored.Value(),
+		"store_compacted":  in.counters.storeCompacted.Value(),
+		"store_era":        uint64(at.Era),
+		"store_revision":   at.Revision,
 		"store_age_ms":     age.Milliseconds(),
 		"store_calls":      in.store.Calls(),
 		"up_s":             now.Sub(in.started).Seconds(),
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -40,7 +40,7 @@
 	if m.Reply || newProcess {
 		in.sendFull([]fleet.Presence{p}, fleet.LoadUpdate{Loads: in.table.OwnLoads()}, false)
 	}
-	if at, _ := in.copy.Position(now); p.Revision > at {
+	if at, _ := in.copy.Position(now); p.Revision > at.Revision {
 		in.requestCatchUp()
 	}
 }
@@ -62,7 +62,7 @@
 	in.groupReportedMu.Lock()
 	in.groupReportedAt[id] = now
 	in.groupReportedMu.Unlock()
-	if at, _ := in.copy.Position(now); r.Revision > at {
+	if at, _ := in.copy.Position(now); r.Revision > at.Revision {
 		in.requestCatchUp()
 	}
 	if !relayed && in.members.Represents(in.ownDomain()) {
--- a/internal/serve/packed.go
+++ b/internal/serve/packed.go
@@ -48,12 +48,12 @@
 // same one after an outage of the store.
 type packedCopy struct {
 	mu    sync.Mutex
-	at    mirror.Revision
+	at    mirror.Position
 	bytes []byte
 }
 
-// get returns c in packed form and its revision.
-func (p *packedCopy) get(c *mirror.Copy) ([]byte, mirror.Revision, error) {
+// get returns c in packed form and its position.
+func (p *packedCopy) get(c *mirror.Copy) ([]byte, mirror.Position, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	items, at := c.Snapshot()
@@ -62,7 +62,7 @@
 	}
 	b, err := pack(itemsWithoutObjects(items))
 	if err != nil {
-		return nil, 0, err
+		return nil, mirror.Position{}, err
 	}
 	p.bytes, p.at = b, at
 	return b, at, nil
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -179,11 +179,11 @@
 
 // presence returns the state that the instance reports of itself.
 func (in *Instance) presence() fleet.Presence {
-	revision, age := in.copy.Position(time.Now())
+	at, age := in.copy.Position(time.Now())
 	lost := in.storeLost.Load()
 	p := fleet.Presence{ID: in.settings.Instance, Incarnation: in.incarnation, Region: in.settings.Region,
 		Domain: in.settings.Domain, Peer: in.settings.Listen.Peer, Entry: in.settings.Listen.Requests,
-		Ready: in.ready(), Leaving: in.leaving.Load(), Revision: revision,
+		Ready: in.ready(), Leaving: in.leaving.Load(), Revision: at.Revision,
 		StoreLost: lost, Watching: age == 0 && !lost, Settled: time.Since(in.started) > settledAfter}
 	return p
 }
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -59,10 +59,30 @@
 				in.startMissingGrace(missingGrace)
 			}
 		},
+		OnCompacted: func(at mirror.Position) {
+			in.counters.storeCompacted.Add(1)
+			in.log.Log(events.StoreCompacted).EmbedObject(at).Send()
+		},
+		OnRestored: func(copied, source mirror.Position) { in.storeRestored("", copied, source) },
 	}
 	f.Run(ctx)
 }
 
+// storeRestored records that the store has come back in another era. from is the
+// instance that reported it, or empty for the store.
+func (in *Instance) storeRestored(from model.InstanceID, before, now mirror.Position) {
+	in.counters.storeRestored.Add(1)
+	in.log.Log(events.StoreRestored).Str("from", origin(from)).Object("before", before).Object("store", now).Send()
+}
+
+// origin names the source of changes in the log.
+func origin(from model.InstanceID) string {
+	if from == "" {
+		return "store"
+	}
+	return string(from)
+}
+
 // startMissingGrace starts the grace period for missing endpoint entries, or
 // extends it, so that it lasts at least d from now.
 func (in *Instance) startMissingGrace(d time.Duration) {
@@ -74,15 +94,15 @@
 }
 
 // apply puts changes of the store's copy into effect.
-func (in *Instance) apply(changes []mirror.Event) {
+func (in *Instance) apply(b mirror.Batch) {
 	in.applyMu.Lock()
 	defer in.applyMu.Unlock()
 	now := time.Now()
-	for _, c := range changes {
+	for _, c := range b.Events {
 		r := platform.RecordOf(c.Key)
 		switch {
 		case r.Desired && !c.Deleted:
-			in.adopt(c)
+			in.adopt(c, b.From)
 		case r.Evacuated != "":
 			in.table.SetEvacuated(r.Evacuated, !c.Deleted)
 			in.log.Log(events.DomainEvacuated).Str("domain", string(r.Evacuated)).Bool("evacuated", !c.Deleted).
@@ -98,23 +118,24 @@
 }
 
 // adopt puts a desired state in force if it is newer than the current one.
-func (in *Instance) adopt(c mirror.Event) {
+func (in *Instance) adopt(c mirror.Event, from model.InstanceID) {
 	next, err := platform.DecodeDesired(c.Value)
 	if err != nil {
-		in.log.Log(events.StateRejected).Err(err).Int64("revision", int64(c.Revision)).Send()
+		in.log.Log(events.StateRejected).Err(err).Str("from", origin(from)).Int64("revision", int64(c.Revision)).Send()
 		return
 	}
 	old := in.state.Load()
 	if old != nil && next.Version <= old.Version {
 		if next.Version < old.Version {
-			in.log.Log(events.OlderStateIgnored).Uint64("state", uint64(next.Version)).Uint64("in_force", uint64(old.Version)).Send()
+			in.log.Log(events.OlderStateIgnored).Uint64("state", uint64(next.Version)).Uint64("in_force", uint64(old.Version)).
+				Str("from", origin(from)).Send()
 		}
 		return
 	}
 	in.table.SetServices(next.Services)
 	in.state.Store(next)
 	in.log.Log(events.StateAdopted).Uint64("state", uint64(next.Version)).Int("routes", next.Routes()).
-		Int64("revision", int64(c.Revision)).Send()
+		Str("from", origin(from)).Int64("revision", int64(c.Revision)).Send()
 	in.heartbeatNow.Store(true)
 }
 
