mirror, fleet, serve: order positions of the store by era before revision

Callers saw: after the store had come back from a copy 9 s old, no desired state was adopted any more. Requests on added routes got 404, and requests whose allowed regions had changed ran in the old region.

Cause: Copy.Replace and Copy.Apply dropped what had no higher revision than the copy. A restored store gives revisions out again, so each listing was refused as older and the watch went on from a revision that the store did not have. The same comparison was made between instances.

Change: a position in the store is an era and a revision, and Position.Before orders by era first. A response of another era makes the follower list again; a listing of a later era replaces the copy whatever its revision, one of an earlier era never does and counts as a failed call. Messages, reports and State.Changes carry positions, and also the version of the desired state in force: an instance fetches a newer one from another instance although the store has an older one. Copy calls notify in the order of the changes. A store that reports no era is in era 0 and works as before. Messages have compact integers, so they became smaller in spite of the new fields.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,6 +1,6 @@
 // Package fleet exchanges state between the instances of the system: which of
-// them are alive or leaving, which revision of the store each has, and how many
-// requests each has in flight at which endpoint. It sends datagrams. A lost
+// them are alive or leaving, which position of the store and which desired state
+// each has, and how many requests each has in flight at which endpoint. It sends datagrams. A lost
 // datagram is not retransmitted, because the next message replaces it.
 package fleet
 
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/steering"
@@ -27,8 +28,11 @@
 	Peer, Entry netip.AddrPort
 	Ready       bool
 	Leaving     bool
-	// Revision is the revision of the instance's copy of the store.
-	Revision mirror.Revision
+	// Position is that of the instance's copy of the store.
+	Position mirror.Position
+	// Desired is the version of the desired state in force on the instance. After
+	// a restore of the store it may be newer than the one in the copy.
+	Desired desired.Version
 	// StoreLost means that the store does not respond to the instance.
 	StoreLost bool
 	// Watching means that the instance watches the store itself.
@@ -160,7 +164,7 @@
 	p = o.Presence
 	m.mu.Unlock()
 	p.setFlags(b.Flags)
-	p.Revision = b.Revision
+	p.Position, p.Desired = b.position(), b.Desired
 	changes, _ = m.ReceiveFull(p, now)
 	return p, changes, true
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/steering"
 )
@@ -16,7 +17,7 @@
 func presence(i int, region model.Region) Presence {
 	return Presence{ID: model.InstanceID(fmt.Sprint("i", i)), Incarnation: model.Incarnation(1000 + i), Region: region, Domain: model.Domain(region + "1"),
 		Peer: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", i)), Entry: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", i)),
-		Ready: true, Revision: 50}
+		Ready: true, Position: mirror.Position{Era: 2, Revision: 50}, Desired: 3}
 }
 
 // Guards against messages that change when they are encoded and decoded, and
@@ -162,7 +163,7 @@
 	far := NewMembers("i10", "b", "b1")
 	far.ReceiveFull(presence(11, "b"), start)
 	r := far.Report(Group{Region: "b"}, presence(10, "b"))
-	r.Loads, r.Revision = LoadPairs(steering.Loads{7: 3}), 99
+	r.Loads, r.Era, r.Revision = LoadPairs(steering.Loads{7: 3}), 3, 20
 	b, err := EncodeReport(r, false)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/groups.go
+++ b/internal/fleet/groups.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/steering"
@@ -48,10 +49,12 @@
 
 	Region model.Region
 	Domain model.Domain
-	// From is the wire ID of the sender, Revision the latest revision of the
-	// store in the group.
+	// From is the wire ID of the sender. Era and Revision are the latest position
+	// of the store in the group, Desired is its newest desired state.
 	From     uint32
+	Era      model.Era
 	Revision mirror.Revision
+	Desired  desired.Version
 	// Alive holds pairs of an instance's wire ID and its flags. It is empty in a
 	// report that only carries loads.
 	Alive []uint32
@@ -69,6 +72,19 @@
 // Group returns the group that the report is about.
 func (r Report) Group() Group { return Group{r.Region, r.Domain} }
 
+// Position returns the latest position of the store in the group.
+func (r Report) Position() mirror.Position {
+	return mirror.Position{Era: r.Era, Revision: r.Revision}
+}
+
+// advance raises the position and the version to those of an instance.
+func (r *Report) advance(p Presence) {
+	if r.Position().Before(p.Position) {
+		r.Era, r.Revision = p.Position.Era, p.Position.Revision
+	}
+	r.Desired = max(r.Desired, p.Desired)
+}
+
 // representativeCount is the largest number of instances of a group that a report
 // is sent to.
 const representativeCount = 2
@@ -132,23 +148,25 @@
 }
 
 // Report returns a report on a group to which this instance belongs, with the
-// live instances and the latest revision but without loads.
+// live instances, the latest position and the newest desired state, but without
+// loads.
 func (m *Members) Report(g Group, self Presence) Report {
-	r := Report{Region: g.Region, Domain: g.Domain, From: wireID(self.ID), Revision: self.Revision}
+	r := Report{Region: g.Region, Domain: g.Domain, From: wireID(self.ID)}
+	r.advance(self)
 	r.Alive = append(r.Alive, wireID(self.ID), uint32(self.flags()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, o := range m.members {
 		if o.alive && g.contains(o.Presence) {
 			r.Alive = append(r.Alive, uint32(o.hash), uint32(o.flags()))
-			r.Revision = max(r.Revision, o.Revision)
+			r.advance(o.Presence)
 		}
 	}
 	return r
 }
 
-// ReceiveReport processes the live instances and the revision in a report on
-// another group. It returns the changes.
+// ReceiveReport processes the live instances, the position and the version in a
+// report on another group. It returns the changes.
 func (m *Members) ReceiveReport(r Report, now time.Time) []Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -169,7 +187,10 @@
 		o.lastHeard, o.alive = now, true
 	}
 	if o := m.members[m.byWireID[r.From]]; o != nil && r.Group().contains(o.Presence) {
-		o.Revision = max(o.Revision, r.Revision)
+		if at := r.Position(); o.Position.Before(at) {
+			o.Position = at
+		}
+		o.Desired = max(o.Desired, r.Desired)
 	}
 	return out
 }
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"net"
 	"net/netip"
 	"sync"
@@ -9,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/steering"
@@ -42,8 +44,12 @@
 	From        uint32
 	Incarnation uint32
 	// Flags holds the bits flagReady to flagSettled.
-	Flags    uint8
+	Flags uint8
+	// Era and Revision are the position of the sender's copy of the store, Desired
+	// is the version of its desired state.
+	Era      model.Era
 	Revision mirror.Revision
+	Desired  desired.Version
 	// Loads holds pairs of an endpoint's wire ID and the sender's requests in
 	// flight there.
 	Loads []uint32
@@ -52,6 +58,10 @@
 	Seen []uint32
 }
 
+func (b Brief) position() mirror.Position {
+	return mirror.Position{Era: b.Era, Revision: b.Revision}
+}
+
 const (
 	flagReady = 1 << iota
 	flagLeaving
@@ -102,7 +112,8 @@
 }
 
 func newBrief(p Presence, update LoadUpdate) Brief {
-	b := Brief{From: wireID(p.ID), Incarnation: uint32(p.Incarnation), Flags: p.flags(), Revision: p.Revision}
+	b := Brief{From: wireID(p.ID), Incarnation: uint32(p.Incarnation), Flags: p.flags(),
+		Era: p.Position.Era, Revision: p.Position.Revision, Desired: p.Desired}
 	b.Loads, b.Seen = LoadPairs(update.Loads), PlacementPairs(update.Placements)
 	return b
 }
@@ -120,9 +131,16 @@
 	return encode(kindBrief, &b)
 }
 
+// encode encodes a message with integers in as few bytes as possible.
 func encode(kind byte, m any) ([]byte, error) {
-	b, err := msgpack.Marshal(m)
-	return append([]byte{kind}, b...), errors.Trace(err)
+	var b bytes.Buffer
+	b.WriteByte(kind)
+	e := msgpack.NewEncoder(&b)
+	e.UseCompactInts(true)
+	if err := e.Encode(m); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return b.Bytes(), nil
 }
 
 // Message is a decoded message of any kind.
@@ -185,7 +203,7 @@
 		return Presence{}, errors.New("message without an instance ID")
 	}
 	p := Presence{ID: model.InstanceID(f.ID), Incarnation: model.Incarnation(f.Incarnation), Region: model.Region(f.Region),
-		Domain: model.Domain(f.Domain), Peer: peer, Entry: entry, Revision: f.Brief.Revision}
+		Domain: model.Domain(f.Domain), Peer: peer, Entry: entry, Position: f.Brief.position(), Desired: f.Brief.Desired}
 	p.setFlags(f.Brief.Flags)
 	return p, nil
 }
--- a/internal/fleet/watchers.go
+++ b/internal/fleet/watchers.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"jujubestile.example/jujubestile/internal/desired"
+	"jujubestile.example/jujubestile/internal/mirror"
+)
 
 // One instance of each region watches the store, and the others fetch the
 // changes from it. It is the one with the lowest hash among those that can
@@ -42,13 +47,19 @@
 	return now.Sub(m.lastWatched) > takeoverDelay+time.Duration(lower)*takeoverStep
 }
 
-// Ahead returns the live instances that have a later revision of the store than
-// self, those of the same region first.
+// Behind reports whether a position of the store is later, or a version of the
+// desired state newer, than those of p.
+func (p Presence) Behind(at mirror.Position, version desired.Version) bool {
+	return p.Position.Before(at) || p.Desired < version
+}
+
+// Ahead returns the live instances that have a later position of the store or a
+// newer desired state than self, those of the same region first.
 func (m *Members) Ahead(self Presence) []Presence {
 	var near, far []Presence
 	for _, p := range m.Alive() {
 		switch {
-		case p.Revision <= self.Revision:
+		case !self.Behind(p.Position, p.Desired):
 		case p.Region == self.Region:
 			near = append(near, p)
 		default:
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -35,8 +35,8 @@
 	// OnCompacted is called when the source no longer has the history after the
 	// position of the copy.
 	OnCompacted func(at Position)
-	// OnRestored is called with the positions of the copy and of the source when
-	// the source responds in another era than that of the copy.
+	// OnRestored is called with the positions of the copy and of the source before
+	// the copy is replaced by a listing of a later era.
 	OnRestored func(copied, source Position)
 
 	listed           bool
@@ -97,7 +97,9 @@
 	cancel(nil)
 	switch {
 	case errors.Is(err, ErrCompacted):
-		f.OnCompacted(after)
+		if at.Era == after.Era {
+			f.OnCompacted(after)
+		}
 		f.listed = false
 		return nil
 	case v.missedChanges.Load():
@@ -109,8 +111,10 @@
 		return errors.Trace(err)
 	}
 	f.sourceResponded()
-	f.checkEra(at)
-	f.Copy.Apply("", events, at)
+	if !f.Copy.Apply("", events, at) {
+		f.listed = false
+		return nil
+	}
 	if len(events) > 0 {
 		sleep(ctx, f.BatchDelay)
 	}
@@ -122,19 +126,22 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	before, _ := f.Copy.Position(time.Now())
+	if at.Era < before.Era {
+		return errors.Annotatef(errEarlierEra, "era %d, copy in era %d", at.Era, before.Era)
+	}
 	f.sourceResponded()
-	f.checkEra(at)
+	if at.Era > before.Era && f.Copy.Loaded() {
+		f.OnRestored(before, at)
+	}
 	f.Copy.Replace("", items, at)
 	f.listed = true
 	return nil
 }
 
-// checkEra reports a change of the source's era.
-func (f *Follower) checkEra(at Position) {
-	if before, changed := f.Copy.recordEra(at.Era); changed {
-		f.OnRestored(before, at)
-	}
-}
+// errEarlierEra means that a listing is of an earlier era than the copy, because
+// it was delayed.
+const errEarlierEra = errors.ConstError("listing of an earlier era")
 
 // unavailableWatchTimeout bounds a Watch call after a failure. It is short
 // because only the end of the call shows that the source is available again.
@@ -166,7 +173,8 @@
 type verifier struct {
 	follower *Follower
 	cancel   context.CancelCauseFunc
-	// missedChanges is set if the watch has not delivered changes in time.
+	// missedChanges is set if the watch has not delivered changes in time, or if
+	// the source has been restored.
 	missedChanges atomic.Bool
 }
 
@@ -192,7 +200,7 @@
 			return
 		}
 		v.follower.Copy.recordResponse()
-		if !v.reached(now) {
+		if !v.reached(now) && !v.restored(now) {
 			sleep(ctx, deliveryTime)
 		}
 		if ctx.Err() == nil && !v.reached(now) {
@@ -205,5 +213,11 @@
 
 func (v *verifier) reached(p Position) bool {
 	at, _ := v.follower.Copy.Position(time.Now())
-	return at.Revision >= p.Revision
+	return !at.Before(p)
+}
+
+// restored reports whether a position is of a later era than the copy.
+func (v *verifier) restored(p Position) bool {
+	at, _ := v.follower.Copy.Position(time.Now())
+	return p.Era > at.Era
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -1,10 +1,11 @@
 // Package mirror keeps a copy of the platform's store in memory. It lists the
 // store once and then watches it for changes. If the store has compacted the
-// history that it needs, it lists again. Consumers get the changes in order,
+// history that it needs or has come back in another era, it lists again. Consumers get the changes in order,
 // and the copy stays usable while the store is unavailable.
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -37,6 +38,11 @@
 	// From is the instance that the changes were fetched from. It is empty if they
 	// come from the store.
 	From model.InstanceID
+	// Era is the era of the store in which the changes were read.
+	Era model.Era
+	// Restored means that the changes lead to a copy in a later era. They may
+	// return keys to earlier values.
+	Restored bool
 }
 
 // Source is the read access to a store that a Follower needs.
@@ -54,6 +60,9 @@
 
 // Copy is an in-memory copy of a store. It is safe for concurrent use.
 type Copy struct {
+	// order is held until notify has returned, so that it gets the changes in
+	// order.
+	order sync.Mutex
 	mu    sync.Mutex
 	items map[string]Item
 	at    Position
@@ -63,7 +72,7 @@
 	// connection prove that the source is reachable.
 	watching bool
 	notify   func(Batch)
-	// log holds all changes after the revision logFrom.
+	// log holds all changes of the era after the revision logFrom.
 	log     []Event
 	logFrom Revision
 }
@@ -72,8 +81,8 @@
 // some seconds of peak load.
 const maxLogLength = 512
 
-// New returns an empty copy. notify is called with the changes in order, while
-// the lock of the copy is not held.
+// New returns an empty copy. notify is called with the changes in order. It may
+// read the copy but not change it.
 func New(notify func(Batch)) *Copy {
 	return &Copy{items: map[string]Item{}, notify: notify}
 }
@@ -93,7 +102,7 @@
 func (c *Copy) Loaded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.at.Revision > 0
+	return c.at != Position{}
 }
 
 // Snapshot returns all items and the position.
@@ -108,27 +117,52 @@
 }
 
 // Replace replaces the content by a full listing of the store at a position,
-// unless its revision is older than the copy's. It reports whether it did.
+// unless that is before the copy's. It reports whether it did.
 func (c *Copy) Replace(from model.InstanceID, items []Item, at Position) bool {
+	c.order.Lock()
+	defer c.order.Unlock()
 	c.mu.Lock()
-	if at.Revision < c.at.Revision {
+	before := c.at
+	if at.Before(before) {
 		c.mu.Unlock()
 		return false
 	}
-	events := c.replaceItems(items, at.Revision)
-	if c.at.Revision == 0 {
-		c.logFrom = at.Revision
+	b := Batch{From: from, Era: at.Era, Restored: before != Position{} && at.Era != before.Era}
+	if before == (Position{}) || b.Restored {
+		b.Events = c.replaceAll(items, at.Revision)
+		c.log, c.logFrom = nil, at.Revision
 	} else {
-		c.appendLog(events)
+		b.Events = c.replaceItems(items, at.Revision)
+		c.appendLog(b.Events)
 	}
 	c.at = at
 	c.mu.Unlock()
-	if len(events) > 0 {
-		c.notify(Batch{Events: events, From: from})
+	if len(b.Events) > 0 {
+		c.notify(b)
 	}
 	return true
 }
 
+// replaceAll replaces the items by those of a listing in another era and returns
+// the changes. The lock is held.
+func (c *Copy) replaceAll(items []Item, at Revision) []Event {
+	var events []Event
+	old := c.items
+	c.items = make(map[string]Item, len(items))
+	for _, it := range items {
+		c.items[it.Key] = it
+		if o, ok := old[it.Key]; !ok || o.Revision != it.Revision || !bytes.Equal(o.Value, it.Value) {
+			events = append(events, Event{Item: it})
+		}
+	}
+	for key := range old {
+		if _, ok := c.items[key]; !ok {
+			events = append(events, Event{Item: Item{Key: key, Revision: at}, Deleted: true})
+		}
+	}
+	return events
+}
+
 // replaceItems replaces the items by those of a listing and returns the changes.
 // Items that have changed after the listing are kept. The lock is held.
 func (c *Copy) replaceItems(items []Item, at Revision) []Event {
@@ -160,18 +194,17 @@
 	}
 }
 
-// Since returns the changes after a revision, and the position of the copy. The
-// last result is false if the log does not reach back to the requested
-// revision.
-func (c *Copy) Since(after Revision) ([]Event, Position, bool) {
+// Since returns the changes after a position, and the position of the copy. The
+// last result is false if the log does not reach back to the requested position.
+func (c *Copy) Since(after Position) ([]Event, Position, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if after < c.logFrom || c.at.Revision == 0 {
+	if after.Era != c.at.Era || after.Revision < c.logFrom || c.at == (Position{}) {
 		return nil, c.at, false
 	}
 	var out []Event
 	for _, e := range c.log {
-		if e.Revision > after {
+		if e.Revision > after.Revision {
 			out = append(out, e)
 		}
 	}
@@ -179,10 +212,30 @@
 }
 
 // Apply applies changes in order and advances the copy to the position at.
-// Changes that the copy already contains are skipped.
-func (c *Copy) Apply(from model.InstanceID, events []Event, at Position) {
+// Changes that the copy already contains are skipped. It reports false, without
+// effect, if the changes are of another era than the copy.
+func (c *Copy) Apply(from model.InstanceID, events []Event, at Position) bool {
+	c.order.Lock()
+	defer c.order.Unlock()
 	c.mu.Lock()
-	applied := events[:0:0]
+	if at.Era != c.at.Era {
+		c.mu.Unlock()
+		return false
+	}
+	applied := c.applyItems(events)
+	c.appendLog(applied)
+	c.at.Revision = max(c.at.Revision, at.Revision)
+	c.mu.Unlock()
+	if len(applied) > 0 {
+		c.notify(Batch{Events: applied, From: from, Era: at.Era})
+	}
+	return true
+}
+
+// applyItems applies changes to the items and returns those that the copy did not
+// contain. The lock is held.
+func (c *Copy) applyItems(events []Event) []Event {
+	var applied []Event
 	for _, e := range events {
 		old, ok := c.items[e.Key]
 		if ok && e.Revision <= old.Revision {
@@ -195,22 +248,7 @@
 		}
 		applied = append(applied, e)
 	}
-	c.appendLog(applied)
-	c.at.Revision = max(c.at.Revision, at.Revision)
-	c.mu.Unlock()
-	if len(applied) > 0 {
-		c.notify(Batch{Events: applied, From: from})
-	}
-}
-
-// recordEra sets the era of the copy. It returns the position before and whether
-// it was in another era that is known.
-func (c *Copy) recordEra(era model.Era) (Position, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	before := c.at
-	c.at.Era = era
-	return before, before.Era != 0 && before.Era != era
+	return applied
 }
 
 // lastResponse returns when the source last responded, or now if it never has.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -261,13 +261,13 @@
 		c.Apply("", []Event{{Item: Item{"k", []byte(fmt.Sprint(r)), r}}}, Position{Revision: r})
 	}
 	last := Revision(10 + 2*maxLogLength)
-	if events, at, ok := c.Since(last - 3); !ok || at.Revision != last || len(events) != 3 {
+	if events, at, ok := c.Since(Position{Revision: last - 3}); !ok || at.Revision != last || len(events) != 3 {
 		t.Fatalf("%d changes up to %d, %v", len(events), at.Revision, ok)
 	}
-	if _, _, ok := c.Since(12); ok {
+	if _, _, ok := c.Since(Position{Revision: 12}); ok {
 		t.Fatal("changes since revision 12, to which the log does not reach back")
 	}
-	if _, _, ok := c.Since(5); ok {
+	if _, _, ok := c.Since(Position{Revision: 5}); ok {
 		t.Fatal("changes since revision 5, which is before the first listing")
 	}
 }
--- a/internal/mirror/position.go
+++ b/internal/mirror/position.go
@@ -16,6 +16,15 @@
 	Revision Revision
 }
 
+// Before reports whether p is earlier than q. Eras take precedence, because the
+// store gives revisions out again in a later one.
+func (p Position) Before(q Position) bool {
+	if p.Era != q.Era {
+		return p.Era < q.Era
+	}
+	return p.Revision < q.Revision
+}
+
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (p Position) MarshalZerologObject(e *zerolog.Event) {
 	e.Uint64("era", uint64(p.Era)).Int64("revision", int64(p.Revision))
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -5,8 +5,10 @@
 	"net/netip"
 	"time"
 
+	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/fleet"
+	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/steering"
 )
 
@@ -40,7 +42,7 @@
 	if m.Reply || newProcess {
 		in.sendFull([]fleet.Presence{p}, fleet.LoadUpdate{Loads: in.table.OwnLoads()}, false)
 	}
-	if at, _ := in.copy.Position(now); p.Revision > at.Revision {
+	if in.behind(p.Position, p.Desired) {
 		in.requestCatchUp()
 	}
 }
@@ -62,7 +64,7 @@
 	in.groupReportedMu.Lock()
 	in.groupReportedAt[id] = now
 	in.groupReportedMu.Unlock()
-	if at, _ := in.copy.Position(now); r.Revision > at.Revision {
+	if in.behind(r.Position(), r.Desired) {
 		in.requestCatchUp()
 	}
 	if !relayed && in.members.Represents(in.ownDomain()) {
@@ -87,6 +89,13 @@
 	}
 }
 
+// behind reports whether another instance has a later position of the store or a
+// newer desired state.
+func (in *Instance) behind(at mirror.Position, version desired.Version) bool {
+	own, _ := in.copy.Position(time.Now())
+	return fleet.Presence{Position: own, Desired: in.desiredVersion()}.Behind(at, version)
+}
+
 // requestCatchUp makes catchUp start a round without waiting for its interval.
 func (in *Instance) requestCatchUp() {
 	select {
--- a/internal/serve/objects.go
+++ b/internal/serve/objects.go
@@ -50,7 +50,7 @@
 		}
 		b, err := msgpack.Marshal(recent)
 		if err == nil {
-			err = in.store.Put(ctx, platform.ObjectsKey(in.settings.Region), b, 0)
+			_, err = in.store.Put(ctx, platform.ObjectsKey(in.settings.Region), b, 0)
 		}
 		if err != nil {
 			in.log.Log(events.ObjectsNotStored).Err(err).Int("bytes", len(b)).Send()
--- /dev/null
+++ b/internal/serve/restore_test.go
@@ -0,0 +1,88 @@
+package serve_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"jujubestile.example/jujubestile/platform/standin"
+)
+
+// restoredCluster starts three instances and endpoints, lets lose write to the
+// store what a restore then loses, and restores the store after an outage. written
+// is called before the store responds again.
+func restoredCluster(t *testing.T, endpoints int, lose, written func(*cluster)) *cluster {
+	t.Helper()
+	c := newCluster(t, 3, endpoints)
+	saved := c.store.Copy()
+	c.writeOther(50)
+	lose(c)
+	c.inForce("the last changes are in force", "/lost/", 200)
+	c.store.SetFaults(standin.StoreFaults{Down: true})
+	time.Sleep(300 * time.Millisecond)
+	c.store.Restore(saved)
+	written(c)
+	c.store.SetFaults(standin.StoreFaults{})
+	return c
+}
+
+// writeOther advances the store by n revisions.
+func (c *cluster) writeOther(n int) {
+	for range n {
+		c.store.Put("other/key", nil)
+	}
+}
+
+// inForce waits until each instance answers a request on the path with the
+// status.
+func (c *cluster) inForce(what, path string, want int) {
+	c.t.Helper()
+	for _, in := range c.instances {
+		c.eventually(what, func() bool { _, code, _ := c.send(in, "GET", path+"x"); return code == want })
+	}
+}
+
+// sendAll sends a request to each instance every 20 ms for a time and fails the
+// test unless all are answered with status 200.
+func (c *cluster) sendAll(path string, d time.Duration) {
+	c.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, in := range c.instances {
+			if _, code, body := c.send(in, "GET", path+"x"); code != 200 {
+				c.t.Fatalf("%s: status %d %s on %s", in.settings.Instance, code, body, path)
+			}
+		}
+	}
+}
+
+// Guards against a desired state that goes back, or is no longer replaced by newer
+// ones, after the store was restored from a copy.
+func TestRestoredStoreDesiredState(t *testing.T) {
+	lose := func(c *cluster) { c.writeState("s", "/lost/") }
+	write := func(c *cluster) { c.writeState("s", "/lost/", "/new/") }
+	t.Run("revision unknown to the store", func(t *testing.T) {
+		c := restoredCluster(t, 3, lose, func(*cluster) {})
+		c.sendAll("/lost/", time.Second)
+		late := c.start(3)
+		c.eventually("a late instance has the lost state", func() bool { _, code, _ := c.send(late, "GET", "/lost/x"); return code == 200 })
+		write(c)
+		c.inForceSoon("/new/")
+	})
+	t.Run("revision given out again", func(t *testing.T) {
+		c := restoredCluster(t, 3, lose, func(c *cluster) { write(c); c.writeOther(200) })
+		c.inForceSoon("/new/")
+		if n := strings.Count(c.logs.String(), `"event":205`); n != 3 {
+			t.Errorf("%d events of a restored store, want 3", n)
+		}
+	})
+}
+
+// inForceSoon fails the test unless all instances serve the path within 2.5 s.
+func (c *cluster) inForceSoon(path string) {
+	c.t.Helper()
+	written := time.Now()
+	c.inForce("a new state is in force", path, 200)
+	if took := time.Since(written); took > 2500*time.Millisecond {
+		c.t.Errorf("in force after %s, want 2.5 s", took)
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -53,7 +53,7 @@
 	started   time.Time
 
 	// applyMu serializes applying the changes of the store's copy. It guards
-	// objectsRestored and missingGraceUntil.
+	// objectsRestored, missingGraceUntil and desired.
 	applyMu sync.Mutex
 	// objectsRestored is set once the object record of an earlier process has
 	// been loaded.
@@ -62,6 +62,7 @@
 	// store. Until then an endpoint whose entry is deleted is marked as missing
 	// and not removed.
 	missingGraceUntil time.Time
+	desired           desiredRecord
 	// announced is set once the store lists the instance.
 	announced atomic.Bool
 	// heartbeatNow makes the heartbeat loop send at its next tick.
@@ -183,7 +184,7 @@
 	lost := in.storeLost.Load()
 	p := fleet.Presence{ID: in.settings.Instance, Incarnation: in.incarnation, Region: in.settings.Region,
 		Domain: in.settings.Domain, Peer: in.settings.Listen.Peer, Entry: in.settings.Listen.Requests,
-		Ready: in.ready(), Leaving: in.leaving.Load(), Revision: at.Revision,
+		Ready: in.ready(), Leaving: in.leaving.Load(), Position: at, Desired: in.desiredVersion(),
 		StoreLost: lost, Watching: age == 0 && !lost, Settled: time.Since(in.started) > settledAfter}
 	return p
 }
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -6,8 +6,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/juju/errors"
-
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/fleet"
 	"jujubestile.example/jujubestile/internal/mirror"
@@ -68,21 +66,6 @@
 	f.Run(ctx)
 }
 
-// storeRestored records that the store has come back in another era. from is the
-// instance that reported it, or empty for the store.
-func (in *Instance) storeRestored(from model.InstanceID, before, now mirror.Position) {
-	in.counters.storeRestored.Add(1)
-	in.log.Log(events.StoreRestored).Str("from", origin(from)).Object("before", before).Object("store", now).Send()
-}
-
-// origin names the source of changes in the log.
-func origin(from model.InstanceID) string {
-	if from == "" {
-		return "store"
-	}
-	return string(from)
-}
-
 // startMissingGrace starts the grace period for missing endpoint entries, or
 // extends it, so that it lasts at least d from now.
 func (in *Instance) startMissingGrace(d time.Duration) {
@@ -101,8 +84,10 @@
 	for _, c := range b.Events {
 		r := platform.RecordOf(c.Key)
 		switch {
-		case r.Desired && !c.Deleted:
-			in.adopt(c, b.From)
+		case r.Desired && c.Deleted:
+			in.desired.copied = 0
+		case r.Desired:
+			in.desired.copied = in.adopt(c.Value, mirror.Position{Era: b.Era, Revision: c.Revision}, b.From)
 		case r.Evacuated != "":
 			in.table.SetEvacuated(r.Evacuated, !c.Deleted)
 			in.log.Log(events.DomainEvacuated).Str("domain", string(r.Evacuated)).Bool("evacuated", !c.Deleted).
@@ -117,28 +102,6 @@
 	}
 }
 
-// adopt puts a desired state in force if it is newer than the current one.
-func (in *Instance) adopt(c mirror.Event, from model.InstanceID) {
-	next, err := platform.DecodeDesired(c.Value)
-	if err != nil {
-		in.log.Log(events.StateRejected).Err(err).Str("from", origin(from)).Int64("revision", int64(c.Revision)).Send()
-		return
-	}
-	old := in.state.Load()
-	if old != nil && next.Version <= old.Version {
-		if next.Version < old.Version {
-			in.log.Log(events.OlderStateIgnored).Uint64("state", uint64(next.Version)).Uint64("in_force", uint64(old.Version)).
-				Str("from", origin(from)).Send()
-		}
-		return
-	}
-	in.table.SetServices(next.Services)
-	in.state.Store(next)
-	in.log.Log(events.StateAdopted).Uint64("state", uint64(next.Version)).Int("routes", next.Routes()).
-		Str("from", origin(from)).Int64("revision", int64(c.Revision)).Send()
-	in.heartbeatNow.Store(true)
-}
-
 // applyEndpoint updates the routing table from a change of an endpoint's entry.
 func (in *Instance) applyEndpoint(id model.EndpointID, c mirror.Event, now time.Time) {
 	change := ""
@@ -206,80 +169,3 @@
 		in.sendFull([]fleet.Presence{p}, fleet.LoadUpdate{}, true)
 	}
 }
-
-const (
-	// leaseTTL is how long the store lists an instance that has died. It may be
-	// long, because other instances detect the death by missing heartbeats; the
-	// list only serves for instances to find each other.
-	leaseTTL = 30 * time.Second
-	// renewInterval is the time between two renewals of the lease: a third of its
-	// TTL.
-	renewInterval = leaseTTL / 3
-	// announceRetryMin is the first pause after a failed announcement. It doubles
-	// up to renewInterval, which the lease outlasts.
-	announceRetryMin = time.Second
-)
-
-// announce keeps the instance listed in the store until the context ends.
-func (in *Instance) announce(ctx context.Context) {
-	var lease uint64
-	pause, retry := time.Duration(0), announceRetryMin
-	for {
-		select {
-		case <-ctx.Done():
-			in.withdraw(lease)
-			return
-		case <-time.After(pause):
-		}
-		var err error
-		lease, err = in.announceOnce(ctx, lease)
-		if err != nil {
-			in.log.Log(events.AnnouncementFailed).Err(err).Send()
-			pause, retry = retry, min(2*retry, renewInterval)
-			continue
-		}
-		in.announced.Store(true)
-		pause, retry = renewInterval, announceRetryMin
-	}
-}
-
-// announceOnce renews the lease, or writes the record under a new one if there is
-// none or it has ended. It returns the lease in use.
-func (in *Instance) announceOnce(ctx context.Context, lease uint64) (uint64, error) {
-	if lease != 0 {
-		err := in.store.Renew(ctx, lease)
-		if err == nil {
-			in.storeLost.Store(false)
-			return lease, nil
-		}
-		if !errors.Is(err, platform.ErrLeaseExpired) {
-			return lease, errors.Trace(err)
-		}
-	}
-	lease, _, err := in.store.Grant(ctx, leaseTTL)
-	if err != nil {
-		return 0, errors.Trace(err)
-	}
-	value, err := json.Marshal(announcement{in.settings.Region, in.settings.Domain, in.settings.Listen.Peer, in.settings.Listen.Requests})
-	if err != nil {
-		return 0, errors.Trace(err)
-	}
-	if err := in.store.Put(ctx, platform.InstanceKey(in.settings.Instance), value, lease); err != nil {
-		return 0, errors.Trace(err)
-	}
-	return lease, nil
-}
-
-// withdrawTimeout bounds the call that revokes the lease at shutdown.
-const withdrawTimeout = 200 * time.Millisecond
-
-func (in *Instance) withdraw(lease uint64) {
-	if lease == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-	defer cancel()
-	if err := in.store.Revoke(ctx, lease); err != nil {
-		in.log.Log(events.AnnouncementFailed).Err(err).Str("during", "stop").Send()
-	}
-}
