serve: order the entries of an endpoint over a restore of the store

Callers saw: requests were sent to endpoints that had become leaving or had gone in the seconds that the store lost, and an evacuation ended or came back until its operator wrote it again.

Cause: a restored store holds older entries under a new position, and the routing table took each entry with a later position.

Change: an entry has the start of the process and the number of its report. serve remembers them for each endpoint, for two minutes and at most 10,000 endpoints also after it has gone. An entry of a later era is used only if it passes the last one of an earlier era. Within an era the store orders the entries as before, and entries without these fields are used as before. An older entry of an endpoint that was not leaving takes effect after 10 s if it is still there: the entry of an endpoint that does not report expires before. Entries that are missing after a restore get the grace period of an outage. An evacuation that is missing in the restored store stays in force, and one that had ended is not taken, until the grace period ends; then the store's word holds.

Evidence: on the commit before, TestRestoredStoreEndpoints failed with 'endpoint e1 got a request after the restore' and TestRestoredStoreEvacuations with 'the evacuation of b1 came back before its writer had the time to end it again'.

--- a/internal/events/catalogue_serve.go
+++ b/internal/events/catalogue_serve.go
@@ -42,7 +42,7 @@
 		"The store or another instance returned a desired state that is older than the one in force.",
 		"None."}
 	EndpointChanged = Event{831, "endpoint changed", zerolog.InfoLevel,
-		"Discovery shows an endpoint as added, restarted, leaving, cold, returned, lapsed or gone, according to the field change.",
+		"Discovery shows an endpoint as added, restarted, leaving, cold, returned, lapsed or gone, according to the field change. The change outdated means that a restored store has an older entry, which is not used.",
 		"None."}
 	EndpointInvalid = Event{832, "endpoint entry unreadable", zerolog.WarnLevel,
 		"A discovery entry cannot be parsed, so no endpoint is taken from it.",
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -135,7 +135,8 @@
 
 // maintain runs the periodic tasks: it marks instances as silent, drops group
 // loads and unconfirmed crashes that are too old, removes endpoints whose entries
-// have stayed missing, and closes idle connections.
+// have stayed missing, applies what was deferred after a restore of the store, and
+// closes idle connections.
 func (in *Instance) maintain(ctx context.Context) {
 	self := steering.Instance{ID: in.settings.Instance, Region: in.settings.Region}
 	in.table.SetInstances(in.members.Instances(self))
@@ -153,13 +154,11 @@
 		in.budget.SetInstances(in.instanceCount())
 		in.expireGroups(now)
 		in.crashes.expire(now)
+		in.settleRestore(now)
 		if now.Sub(in.started) < startupWindow {
 			in.setInitialRemoteShare()
 		}
-		for _, id := range in.table.RemoveMissing(now) {
-			in.client.Drop(id)
-			in.log.Log(events.EndpointChanged).Str("endpoint", string(id)).Str("change", "gone").Send()
-		}
+		in.removeMissing(now)
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			in.client.Sweep()
@@ -167,6 +166,17 @@
 	}
 }
 
+// removeMissing removes the endpoints whose entries have stayed missing.
+func (in *Instance) removeMissing(now time.Time) {
+	in.applyMu.Lock()
+	defer in.applyMu.Unlock()
+	for _, id := range in.table.RemoveMissing(now) {
+		in.client.Drop(id)
+		in.entries.remove(id, now)
+		in.log.Log(events.EndpointChanged).Str("endpoint", string(id)).Str("change", "gone").Send()
+	}
+}
+
 const (
 	// startupWindow is how long after its start an instance checks whether it has
 	// joined a region that already serves requests. It is below settledAfter, so
--- a/internal/serve/restore_test.go
+++ b/internal/serve/restore_test.go
@@ -86,3 +86,57 @@
 		c.t.Errorf("in force after %s, want 2.5 s", took)
 	}
 }
+
+// Guards against requests to endpoints that became leaving or had gone in the
+// seconds that a restore of the store loses, and against dropping one that was
+// added in them.
+func TestRestoredStoreEndpoints(t *testing.T) {
+	c := restoredCluster(t, 2, func(c *cluster) {
+		c.addEndpoint("e2", "b1")
+		c.store.PutEndpoint(c.endpoints[0], c.endpoints[0].Addr(), true, 0)
+		c.store.RemoveEndpoint("e1")
+		time.Sleep(600 * time.Millisecond)
+		c.writeState("s", "/lost/")
+	}, func(*cluster) {})
+	restored := time.Now()
+	c.sendAll("/safe/", 1500*time.Millisecond)
+	c.store.PutEndpoint(c.endpoints[2], c.endpoints[2].Addr(), false, 0)
+	c.sendAll("/safe/", 1500*time.Millisecond)
+	for i, e := range c.endpoints[:2] {
+		if e.LastStart().After(restored) {
+			t.Errorf("endpoint e%d got a request after the restore", i)
+		}
+	}
+	c.store.PutEndpoint(c.endpoints[1], c.endpoints[1].Addr(), false, 0)
+	time.Sleep(600 * time.Millisecond)
+	c.store.PutEndpoint(c.endpoints[2], c.endpoints[2].Addr(), true, 0)
+	time.Sleep(600 * time.Millisecond)
+	c.sendAll("/safe/", 200*time.Millisecond) // By the endpoint that reports again.
+}
+
+// Guards against an evacuation that ends because a restore of the store has lost
+// it, one that comes back although it has ended, and either of them lasting longer
+// than its writer takes to write again.
+func TestRestoredStoreEvacuations(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.store.Evacuate("b1", true)
+	time.Sleep(500 * time.Millisecond)
+	saved := c.store.Copy()
+	c.store.Evacuate("b1", false)
+	c.store.Evacuate("a1", true)
+	time.Sleep(500 * time.Millisecond)
+	c.store.Restore(saved)
+	c.writeOther(10)
+	restored := time.Now()
+	c.sendAll("/safe/", 1800*time.Millisecond)
+	if c.endpoints[0].LastStart().After(restored) {
+		t.Error("the evacuation of a1 has ended")
+	}
+	if strings.Count(c.logs.String(), `"domain":"b1","evacuated":true`) != 3 {
+		t.Error("the evacuation of b1 came back before its writer had the time to end it again")
+	}
+	c.eventually("the evacuations of the restored store are in force", func() bool {
+		logs := c.logs.String()
+		return strings.Count(logs, `"domain":"b1","evacuated":true`) == 6 && strings.Count(logs, `"domain":"a1","evacuated":false`) == 3
+	})
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -53,7 +53,7 @@
 	started   time.Time
 
 	// applyMu serializes applying the changes of the store's copy. It guards
-	// objectsRestored, missingGraceUntil and desired.
+	// objectsRestored, missingGraceUntil, desired, entries and evacuations.
 	applyMu sync.Mutex
 	// objectsRestored is set once the object record of an earlier process has
 	// been loaded.
@@ -63,6 +63,8 @@
 	// and not removed.
 	missingGraceUntil time.Time
 	desired           desiredRecord
+	entries           entryHistory
+	evacuations       evacuations
 	// announced is set once the store lists the instance.
 	announced atomic.Bool
 	// heartbeatNow makes the heartbeat loop send at its next tick.
@@ -83,7 +85,7 @@
 func New(s Settings, log events.Logger) *Instance {
 	now := time.Now()
 	in := &Instance{settings: s, log: log, incarnation: model.Incarnation(now.UnixNano()), started: now,
-		catchUpNow: make(chan struct{}, 1), groupReportedAt: map[model.InstanceID]time.Time{}}
+		catchUpNow: make(chan struct{}, 1), groupReportedAt: map[model.InstanceID]time.Time{}, entries: newEntryHistory(), evacuations: newEvacuations()}
 	in.store = platform.NewStore(s.Store.Address.String(), storeTransport())
 	in.copy = mirror.New(in.apply)
 	in.table = steering.New(steering.Config{Self: s.Instance, Domain: s.Domain, Region: s.Region,
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -89,11 +89,9 @@
 		case r.Desired:
 			in.desired.copied = in.adopt(c.Value, mirror.Position{Era: b.Era, Revision: c.Revision}, b.From)
 		case r.Evacuated != "":
-			in.table.SetEvacuated(r.Evacuated, !c.Deleted)
-			in.log.Log(events.DomainEvacuated).Str("domain", string(r.Evacuated)).Bool("evacuated", !c.Deleted).
-				Int64("revision", int64(c.Revision)).Send()
+			in.applyEvacuation(r.Evacuated, c, b.Restored, now)
 		case r.Endpoint != "":
-			in.applyEndpoint(r.Endpoint, c, now)
+			in.applyEndpoint(r.Endpoint, c, b.Era, now)
 		case r.Instance != "":
 			in.applyInstance(r.Instance, c)
 		case r.Objects == in.settings.Region && !c.Deleted:
@@ -103,13 +101,15 @@
 }
 
 // applyEndpoint updates the routing table from a change of an endpoint's entry.
-func (in *Instance) applyEndpoint(id model.EndpointID, c mirror.Event, now time.Time) {
+func (in *Instance) applyEndpoint(id model.EndpointID, c mirror.Event, era model.Era, now time.Time) {
 	change := ""
 	var e steering.Endpoint
 	var err error
 	switch {
 	case c.Deleted && now.Before(in.missingGraceUntil):
-		in.table.MarkMissing(id, in.missingGraceUntil, now)
+		if !in.table.MarkMissing(id, in.missingGraceUntil, now) {
+			in.entries.remove(id, now)
+		}
 		change = "lapsed"
 	case c.Deleted:
 		change = in.removeEndpoint(id, now)
@@ -119,6 +119,10 @@
 			change = in.removeEndpoint(id, now)
 			break
 		}
+		if !in.entries.put(e, c, era, now) {
+			change = "outdated"
+			break
+		}
 		change = in.table.Put(e, now)
 		if change == "restarted" || change == "leaving" {
 			in.client.Drop(id)
@@ -138,6 +142,7 @@
 // log, or "" if the endpoint was unknown.
 func (in *Instance) removeEndpoint(id model.EndpointID, now time.Time) string {
 	in.client.Drop(id)
+	in.entries.remove(id, now)
 	in.crashes.endpointEnded(id)
 	if !in.table.Remove(id, now) {
 		return ""
--- a/internal/steering/endpoint.go
+++ b/internal/steering/endpoint.go
@@ -38,6 +38,10 @@
 	ColdFor time.Duration
 	// Started is the endpoint's start in Unix milliseconds, or 0.
 	Started int64
+	// Sequence counts the reports of the process. Ordered means that Started and
+	// Sequence are known, so that two reports of the endpoint can be ordered.
+	Sequence int64
+	Ordered  bool
 }
 
 // endpoint is an endpoint with the state that the table keeps for it.
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -221,8 +221,9 @@
 
 // MarkMissing records that, after an outage of the store, an endpoint has no
 // entry in it. The endpoint stays in use until the given time, unless Put
-// confirms it before. Leaving endpoints are removed immediately.
-func (t *Table) MarkMissing(id model.EndpointID, until, now time.Time) {
+// confirms it before. Leaving endpoints are removed immediately. MarkMissing
+// reports whether the endpoint stays in use.
+func (t *Table) MarkMissing(id model.EndpointID, until, now time.Time) bool {
 	t.mu.Lock()
 	e := t.endpoints[id]
 	if e != nil && !e.Leaving {
@@ -232,6 +233,7 @@
 	if e != nil && e.Leaving {
 		t.Remove(id, now)
 	}
+	return e != nil && !e.Leaving
 }
 
 // RemoveMissing removes the endpoints that have stayed missing until the time
