serve: announce the instance again after a restore of the store

Callers saw: nothing yet, because instances know each other from messages. The announcement of an instance that had started in the lost seconds was gone from the store, so an instance that started later did not find it there.

Cause: leases of the lost seconds are gone and their numbers are given out again. An instance went on renewing a number that had become another instance's lease, and would have ended that lease at its shutdown.

Change: a lease has the era in which it was granted. An instance whose lease is of an earlier era than its copy of the store, or than the response to a renewal, announces itself again under a new lease, and leaves the old one to expire. It also does so when another instance reports the new era. Announcements are spread over 10 ms an instance, 49 s for 4,900 instances.

Evidence: TestRestoredStoreAnnouncements failed before: not all instances were listed within 5 s.

--- a/internal/serve/announce.go
+++ b/internal/serve/announce.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
 
 	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/platform"
 )
 
@@ -22,6 +24,9 @@
 	// announceRetryMin is the first pause after a failed announcement. It doubles
 	// up to renewInterval, which the lease outlasts.
 	announceRetryMin = time.Second
+	// announceSpacing is the mean time between the announcements of two instances
+	// after a restore of the store. An announcement takes two writes.
+	announceSpacing = 10 * time.Millisecond
 )
 
 // announce keeps the instance listed in the store until the context ends.
@@ -33,6 +38,9 @@
 		case <-ctx.Done():
 			in.withdraw(lease)
 			return
+		case <-in.storeRestores:
+			pause = rand.N(time.Duration(in.instanceCount()) * announceSpacing)
+			continue
 		case <-time.After(pause):
 		}
 		var err error
@@ -47,16 +55,19 @@
 	}
 }
 
+// errLeaseLost means that the store was restored after a lease was granted.
+const errLeaseLost = errors.ConstError("the store has lost the lease in a restore")
+
 // announceOnce renews the lease, or writes the record under a new one if there is
-// none or it has ended. It returns the lease in use.
+// none, it has ended, or it is of an earlier era. It returns the lease in use.
 func (in *Instance) announceOnce(ctx context.Context, lease platform.Lease) (platform.Lease, error) {
-	if lease.ID != 0 {
-		_, err := in.store.Renew(ctx, lease.ID)
-		if err == nil {
+	if lease.ID != 0 && lease.Era >= in.storeEra() {
+		era, err := in.store.Renew(ctx, lease.ID)
+		if err == nil && era == lease.Era {
 			in.storeLost.Store(false)
 			return lease, nil
 		}
-		if !errors.Is(err, platform.ErrLeaseExpired) {
+		if err != nil && !errors.Is(err, platform.ErrLeaseExpired) {
 			return lease, errors.Trace(err)
 		}
 	}
@@ -68,17 +79,29 @@
 	if err != nil {
 		return platform.Lease{}, errors.Trace(err)
 	}
-	if _, err := in.store.Put(ctx, platform.InstanceKey(in.settings.Instance), value, lease.ID); err != nil {
+	era, err := in.store.Put(ctx, platform.InstanceKey(in.settings.Instance), value, lease.ID)
+	if err == nil && era != lease.Era {
+		err = errLeaseLost
+	}
+	if err != nil {
 		return platform.Lease{}, errors.Trace(err)
 	}
 	return lease, nil
 }
 
+// storeEra returns the era of the copy of the store.
+func (in *Instance) storeEra() model.Era {
+	at, _ := in.copy.Position(time.Now())
+	return at.Era
+}
+
 // withdrawTimeout bounds the call that revokes the lease at shutdown.
 const withdrawTimeout = 200 * time.Millisecond
 
+// withdraw revokes the lease. One of an earlier era is left to expire, because its
+// ID may stand for the lease of another instance.
 func (in *Instance) withdraw(lease platform.Lease) {
-	if lease.ID == 0 {
+	if lease.ID == 0 || lease.Era < in.storeEra() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
--- a/internal/serve/restore.go
+++ b/internal/serve/restore.go
@@ -23,6 +23,10 @@
 	if from == "" {
 		in.startMissingGrace(missingGrace)
 	}
+	select {
+	case in.storeRestores <- struct{}{}:
+	default:
+	}
 }
 
 // origin names the source of changes in the log.
--- a/internal/serve/restore_test.go
+++ b/internal/serve/restore_test.go
@@ -1,6 +1,8 @@
 package serve_test
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -140,3 +142,32 @@
 		return strings.Count(logs, `"domain":"b1","evacuated":true`) == 6 && strings.Count(logs, `"domain":"a1","evacuated":false`) == 3
 	})
 }
+
+// Guards against an instance that is missing in the restored store, and against
+// one that ends the lease of another because both were granted the same ID.
+func TestRestoredStoreAnnouncements(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	listed := func(want ...string) func() bool {
+		return func() bool {
+			var keys []string
+			for _, id := range want {
+				keys = append(keys, "jujubestile/instances/"+id)
+			}
+			return slices.Equal(c.store.Keys("jujubestile/instances/"), keys)
+		}
+	}
+	c.eventually("two instances are listed", listed("i0", "i1"))
+	saved := c.store.Copy()
+	third := c.start(2)
+	c.eventually("three instances are listed", listed("i0", "i1", "i2"))
+	c.store.SetFaults(standin.StoreFaults{Down: true})
+	c.store.Restore(saved)
+	c.store.SetFaults(standin.StoreFaults{})
+	c.start(3)
+	c.eventually("all instances are listed", listed("i0", "i1", "i2", "i3"))
+	third.stop()
+	<-third.done
+	if !listed("i0", "i1", "i3")() {
+		t.Error(fmt.Sprint("listed: ", c.store.Keys("jujubestile/instances/")))
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -65,6 +65,8 @@
 	desired           desiredRecord
 	entries           entryHistory
 	evacuations       evacuations
+	// storeRestores wakes up announce when the store was restored.
+	storeRestores chan struct{}
 	// announced is set once the store lists the instance.
 	announced atomic.Bool
 	// heartbeatNow makes the heartbeat loop send at its next tick.
@@ -85,7 +87,8 @@
 func New(s Settings, log events.Logger) *Instance {
 	now := time.Now()
 	in := &Instance{settings: s, log: log, incarnation: model.Incarnation(now.UnixNano()), started: now,
-		catchUpNow: make(chan struct{}, 1), groupReportedAt: map[model.InstanceID]time.Time{}, entries: newEntryHistory(), evacuations: newEvacuations()}
+		catchUpNow: make(chan struct{}, 1), storeRestores: make(chan struct{}, 1),
+		groupReportedAt: map[model.InstanceID]time.Time{}, entries: newEntryHistory(), evacuations: newEvacuations()}
 	in.store = platform.NewStore(s.Store.Address.String(), storeTransport())
 	in.copy = mirror.New(in.apply)
 	in.table = steering.New(steering.Config{Self: s.Instance, Domain: s.Domain, Region: s.Region,
