--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -18,7 +18,7 @@
 	Active func() bool
 	// WatchTimeout bounds one Watch call.
 	WatchTimeout time.Duration
-	// VerifyInterval is the time between two comparisons of the revision of the
+	// VerifyInterval is the time between two comparisons of the position of the
 	// source with that of the copy while a watch waits.
 	VerifyInterval time.Duration
 	// BatchDelay is the pause after a watch that returned changes, so that a
@@ -32,6 +32,12 @@
 	// changes are applied; outage is the time since the last response.
 	OnUnavailable func(error)
 	OnAvailable   func(outage time.Duration)
+	// OnCompacted is called when the source no longer has the history after the
+	// position of the copy.
+	OnCompacted func(at Position)
+	// OnRestored is called with the positions of the copy and of the source before
+	// the copy is replaced by a listing of a later era.
+	OnRestored func(copied, source Position)
 
 	listed           bool
 	unavailableSince time.Time
@@ -90,7 +96,13 @@
 	events, at, err := f.Source.Watch(watch, after, f.watchTimeout())
 	cancel(nil)
 	switch {
-	case v.missedChanges.Load(), errors.Is(err, ErrCompacted):
+	case errors.Is(err, ErrCompacted):
+		if at.Era == after.Era {
+			f.OnCompacted(after)
+		}
+		f.listed = false
+		return nil
+	case v.missedChanges.Load():
 		f.listed = false
 		return nil
 	case err != nil && errors.Is(context.Cause(watch), errInactive):
@@ -99,7 +111,10 @@
 		return errors.Trace(err)
 	}
 	f.sourceResponded()
-	f.Copy.Apply(events, at)
+	if !f.Copy.Apply("", events, at) {
+		f.listed = false
+		return nil
+	}
 	if len(events) > 0 {
 		sleep(ctx, f.BatchDelay)
 	}
@@ -111,12 +126,23 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	before, _ := f.Copy.Position(time.Now())
+	if at.Era < before.Era {
+		return errors.Annotatef(errEarlierEra, "era %d, copy in era %d", at.Era, before.Era)
+	}
 	f.sourceResponded()
-	f.Copy.Replace(items, at)
+	if at.Era > before.Era && f.Copy.Loaded() {
+		f.OnRestored(before, at)
+	}
+	f.Copy.Replace("", items, at)
 	f.listed = true
 	return nil
 }
 
+// errEarlierEra means that a listing is of an earlier era than the copy, because
+// it was delayed.
+const errEarlierEra = errors.ConstError("listing of an earlier era")
+
 // unavailableWatchTimeout bounds a Watch call after a failure. It is short
 // because only the end of the call shows that the source is available again.
 const unavailableWatchTimeout = 200 * time.Millisecond
@@ -142,12 +168,13 @@
 // watches the source.
 const errInactive = errors.ConstError("another instance watches")
 
-// verifier compares the revision of the source with that of the copy while a
+// verifier compares the position of the source with that of the copy while a
 // watch waits.
 type verifier struct {
 	follower *Follower
 	cancel   context.CancelCauseFunc
-	// missedChanges is set if the watch has not delivered changes in time.
+	// missedChanges is set if the watch has not delivered changes in time, or if
+	// the source has been restored.
 	missedChanges atomic.Bool
 }
 
@@ -167,13 +194,13 @@
 			v.cancel(errInactive)
 			return
 		}
-		now, err := v.follower.Source.Revision(ctx)
+		now, err := v.follower.Source.Position(ctx)
 		if err != nil {
 			v.cancel(err)
 			return
 		}
 		v.follower.Copy.recordResponse()
-		if !v.reached(now) {
+		if !v.reached(now) && !v.restored(now) {
 			sleep(ctx, deliveryTime)
 		}
 		if ctx.Err() == nil && !v.reached(now) {
@@ -184,7 +211,13 @@
 	}
 }
 
-func (v *verifier) reached(r Revision) bool {
+func (v *verifier) reached(p Position) bool {
+	at, _ := v.follower.Copy.Position(time.Now())
+	return !at.Before(p)
+}
+
+// restored reports whether a position is of a later era than the copy.
+func (v *verifier) restored(p Position) bool {
 	at, _ := v.follower.Copy.Position(time.Now())
-	return at >= r
+	return p.Era > at.Era
 }
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -5,8 +5,10 @@
 	"net/netip"
 	"time"
 
+	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/fleet"
+	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/steering"
 )
 
@@ -40,7 +42,7 @@
 	if m.Reply || newProcess {
 		in.sendFull([]fleet.Presence{p}, fleet.LoadUpdate{Loads: in.table.OwnLoads()}, false)
 	}
-	if at, _ := in.copy.Position(now); p.Revision > at {
+	if in.behind(p.Position, p.Desired) {
 		in.requestCatchUp()
 	}
 }
@@ -62,7 +64,7 @@
 	in.groupReportedMu.Lock()
 	in.groupReportedAt[id] = now
 	in.groupReportedMu.Unlock()
-	if at, _ := in.copy.Position(now); r.Revision > at {
+	if in.behind(r.Position(), r.Desired) {
 		in.requestCatchUp()
 	}
 	if !relayed && in.members.Represents(in.ownDomain()) {
@@ -87,6 +89,13 @@
 	}
 }
 
+// behind reports whether another instance has a later position of the store or a
+// newer desired state.
+func (in *Instance) behind(at mirror.Position, version desired.Version) bool {
+	own, _ := in.copy.Position(time.Now())
+	return fleet.Presence{Position: own, Desired: in.desiredVersion()}.Behind(at, version)
+}
+
 // requestCatchUp makes catchUp start a round without waiting for its interval.
 func (in *Instance) requestCatchUp() {
 	select {
@@ -126,7 +135,8 @@
 
 // maintain runs the periodic tasks: it marks instances as silent, drops group
 // loads and unconfirmed crashes that are too old, removes endpoints whose entries
-// have stayed missing, and closes idle connections.
+// have stayed missing, applies what was deferred after a restore of the store, and
+// closes idle connections.
 func (in *Instance) maintain(ctx context.Context) {
 	self := steering.Instance{ID: in.settings.Instance, Region: in.settings.Region}
 	in.table.SetInstances(in.members.Instances(self))
@@ -144,13 +154,11 @@
 		in.budget.SetInstances(in.instanceCount())
 		in.expireGroups(now)
 		in.crashes.expire(now)
+		in.settleRestore(now)
 		if now.Sub(in.started) < startupWindow {
 			in.setInitialRemoteShare()
 		}
-		for _, id := range in.table.RemoveMissing(now) {
-			in.client.Drop(id)
-			in.log.Log(events.EndpointChanged).Str("endpoint", string(id)).Str("change", "gone").Send()
-		}
+		in.removeMissing(now)
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			in.client.Sweep()
@@ -158,6 +166,17 @@
 	}
 }
 
+// removeMissing removes the endpoints whose entries have stayed missing.
+func (in *Instance) removeMissing(now time.Time) {
+	in.applyMu.Lock()
+	defer in.applyMu.Unlock()
+	for _, id := range in.table.RemoveMissing(now) {
+		in.client.Drop(id)
+		in.entries.remove(id, now)
+		in.log.Log(events.EndpointChanged).Str("endpoint", string(id)).Str("change", "gone").Send()
+	}
+}
+
 const (
 	// startupWindow is how long after its start an instance checks whether it has
 	// joined a region that already serves requests. It is below settledAfter, so
