serve: report a restore of the store once

TestRestoredStoreDesiredState failed once in the whole suite: 4 events of a restored store, want 3. The follower and the fetch of changes from another instance each compare the era of what they got with that of the copy before either has replaced it, so both report the same restore. The era that was reported last now decides.

--- a/internal/serve/restore.go
+++ b/internal/serve/restore.go
@@ -16,19 +16,37 @@
 // period.
 
 // storeRestored records that the store has come back in another era. from is the
-// instance that reported it, or empty for the store.
+// instance that reported it, or empty for the store. Both may report the same
+// restore.
 func (in *Instance) storeRestored(from model.InstanceID, before, now mirror.Position) {
-	in.counters.storeRestored.Add(1)
-	in.log.Log(events.StoreRestored).Str("from", origin(from)).Object("before", before).Object("store", now).Send()
 	if from == "" {
 		in.startMissingGrace(missingGrace)
 	}
+	if !in.firstReport(now.Era) {
+		return
+	}
+	in.counters.storeRestored.Add(1)
+	in.log.Log(events.StoreRestored).Str("from", origin(from)).Object("before", before).Object("store", now).Send()
 	select {
 	case in.storeRestores <- struct{}{}:
 	default:
 	}
 }
 
+// firstReport reports whether no restore to the era or a later one has been
+// reported before.
+func (in *Instance) firstReport(era model.Era) bool {
+	for {
+		reported := in.reportedEra.Load()
+		if reported >= uint64(era) {
+			return false
+		}
+		if in.reportedEra.CompareAndSwap(reported, uint64(era)) {
+			return true
+		}
+	}
+}
+
 // origin names the source of changes in the log.
 func origin(from model.InstanceID) string {
 	if from == "" {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -65,6 +65,8 @@
 	desired           desiredRecord
 	entries           entryHistory
 	evacuations       evacuations
+	// reportedEra is the era of the last restore that was reported.
+	reportedEra atomic.Uint64
 	// storeRestores wakes up announce when the store was restored.
 	storeRestores chan struct{}
 	// announced is set once the store lists the instance.
