configsync: name the winner when two operators edit at the same moment

Cause: the editor reads the store before the winner's swap. Its instance then puts the winner's document in force, so it takes the store for older and tries to write that document back, which fails because the store has it already.

Change: if the write-back finds that the store has changed since it was read, the edit is prepared again, as after its own failed swap. An instance that is not a relay does not report itself as synced with a store that is recovering.

--- a/internal/configsync/driver.go
+++ b/internal/configsync/driver.go
@@ -170,7 +170,7 @@
 		return 0, errors.Trace(err)
 	}
 	revision, err := d.reconcile(ctx, kv, stored, d.State.Document())
-	if err == nil && d.IsRelay() {
+	if err == nil {
 		d.State.setSynced(true)
 	}
 	return revision, err
--- a/internal/configsync/edit.go
+++ b/internal/configsync/edit.go
@@ -110,6 +110,9 @@
 		if failed != nil {
 			return e.unknownIfUncertain(uncertain, *failed)
 		}
+		if base.outdated {
+			continue
+		}
 		if base.existing != nil {
 			return e.confirm(ctx, r, Document{}, *base.existing, writtenAt{})
 		}
@@ -156,6 +159,9 @@
 
 // editBase is the state of the store and the relays that an edit starts from.
 type editBase struct {
+	// outdated means that the store has changed since it was read, so that the edit
+	// must be prepared again.
+	outdated bool
 	// kv is the key-value pair of the rules document in the store.
 	kv store.KeyValue
 	// doc is the document in force at this instance, which is the newest one.
@@ -183,10 +189,11 @@
 	// After a restore, the edit itself brings the newest document of the relays back
 	// to the store.
 	if !recovering {
-		var failed *Result
-		if kv, local, failed = e.matchStore(ctx, kv, stored, local); failed != nil {
-			return editBase{}, failed
+		written, failed := e.matchStore(ctx, kv, stored, local)
+		if failed != nil || written == nil {
+			return editBase{outdated: failed == nil}, failed
 		}
+		kv, local = *written, e.State.Document()
 	}
 	b := editBase{kv: kv, doc: local, highestRevision: max(local.Revision, stored.Revision)}
 	if local.statusOf(r.EditID) == editIncluded {
@@ -204,47 +211,45 @@
 }
 
 // matchStore applies the stored document or writes the local one back, whichever is
-// older.
-func (e *Editor) matchStore(ctx context.Context, kv store.KeyValue, stored, local Document) (store.KeyValue, Document, *Result) {
+// older, and returns what the store then has, or nil if it has changed since the read.
+func (e *Editor) matchStore(ctx context.Context, kv store.KeyValue, stored, local Document) (*store.KeyValue, *Result) {
 	if stored.needsRecovery(kv, local.Head) {
-		return kv, local, unavailable("the store was restored and does not have revision %d yet; try again", local.Revision)
+		return nil, unavailable("the store was restored and does not have revision %d yet; try again", local.Revision)
 	}
 	switch stored.relate(local.Head) {
 	case newer:
 		if v, err := e.State.Apply(stored); err == nil && v == Rejected {
-			return kv, local, unavailable("two documents of revision %d are being reconciled; try again", stored.Revision)
+			return nil, unavailable("two documents of revision %d are being reconciled; try again", stored.Revision)
 		}
-		return kv, e.State.Document(), nil
 	case forked:
-		return kv, local, unavailable("two documents of revision %d are being reconciled; try again", stored.Revision)
+		return nil, unavailable("two documents of revision %d are being reconciled; try again", stored.Revision)
 	case older:
 		// A malformed value counts as older: here the document in force replaces
 		// it.
 		written, err := e.writeBack(ctx, kv, local)
 		if err != nil {
-			return kv, local, unavailable("the store is behind and cannot be written: %v; try again", err)
+			return nil, unavailable("the store is behind and cannot be written: %v; try again", err)
 		}
-		return written, local, nil
+		return written, nil
 	}
-	return kv, local, nil
+	return &kv, nil
 }
 
-// writeBack writes the document in force to a store that has an older one.
-func (e *Editor) writeBack(ctx context.Context, kv store.KeyValue, local Document) (store.KeyValue, error) {
+// writeBack writes the document in force to a store that has an older one. It returns
+// nil if the store has changed since it was read. Then it may have the newer document
+// already.
+func (e *Editor) writeBack(ctx context.Context, kv store.KeyValue, local Document) (*store.KeyValue, error) {
 	local.Position = positionAfter(kv)
 	value, err := local.Encode()
 	if err != nil {
-		return kv, errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	res, err := e.Store.CompareAndSwap(ctx, Key, kv.Revision, value, 0)
-	if err != nil {
-		return kv, errors.Trace(err)
-	}
-	if !res.Swapped || res.Current.Era != kv.Era {
-		return kv, errors.New("it changed meanwhile")
+	if err != nil || !res.Swapped || res.Current.Era != kv.Era {
+		return nil, errors.Trace(err)
 	}
 	e.Report(Event{Kind: EventStoreBehind, InForce: local.Head})
-	return res.Current, nil
+	return &res.Current, nil
 }
 
 // catchUp returns the newest document that this instance or a relay has, and puts it
--- a/internal/configsync/recover.go
+++ b/internal/configsync/recover.go
@@ -19,7 +19,7 @@
 // forkGracePeriod without a majority, the newest known document is used.
 func (d *Driver) recover(ctx context.Context, kv store.KeyValue, stored Document) (store.Revision, error) {
 	if !d.IsRelay() {
-		return kv.Revision, nil
+		return 0, errForkUnresolved
 	}
 	graceOver := d.graceOver()
 	heads, queried := d.Relays.Heads(ctx)
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -31,6 +31,8 @@
 	down  bool
 	// beforeSwap, if set, runs once before the next swap of the rules document.
 	beforeSwap func()
+	// afterGet, if set, runs once after the next read, before its result is returned.
+	afterGet func()
 	// lostResponses is how many of the next successful swaps of the rules
 	// document return an error.
 	lostResponses int
@@ -47,6 +49,10 @@
 }
 
 func (m *memoryStore) Get(_ context.Context, key string) (store.KeyValue, error) {
+	if after := m.afterGet; after != nil {
+		m.afterGet = nil
+		defer after()
+	}
 	defer m.mu.Unlock()
 	if err := m.begin(); err != nil {
 		return store.KeyValue{}, err
@@ -262,6 +268,20 @@
 	}
 }
 
+// Guards against the loser of two concurrent edits that is told that the store has
+// changed instead of who won: the winner's edit is written and in force at the loser's
+// instance after that has read the store.
+func TestEditSavedAfterReadWins(t *testing.T) {
+	m := newMemoryStore()
+	editors := newEditors(2, m)
+	edit(t, editors[0], "a", 0, baseText)
+	m.afterGet = func() { edit(t, editors[1], "b", 1, baseText+lineOf("b")) }
+	r := edit(t, editors[0], "c", 1, baseText+lineOf("c"))
+	if r.Outcome != Conflict || r.Head.EditID != "b" || len(r.Changes) != 1 || m.stored().EditID != "b" {
+		t.Errorf("got %+v; the store has %s", r, m.stored().EditID)
+	}
+}
+
 // Guards against an edit based on an outdated store. The store was restored from
 // an older backup, and the instance with the editor does not have the newest
 // document. Without the query to the relays the edit would create a fork, which
