soak: check that requests run only in their allowed regions

Users saw requests outside their home region on a deployment of 130 instances and cannot say more. No run of our own could have seen that: the soak's routes have no allowed regions. Two routes, one nested in the other, now change their region with each desired state, and a request that runs elsewhere later than the bound for new states breaks the check (TestChecksDetectViolations has a history for it).

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -106,6 +106,10 @@
 		r.Path, r.Unsafe, method = "/pay/x", true, http.MethodPost
 	case n < 5:
 		r.Path = fmt.Sprintf("/only-%d/x", max(1, version-rnd.IntN(3)))
+	case n < 6:
+		r.Path = regionalPrefix + "x"
+	case n < 7:
+		r.Path = nestedPrefix + "x"
 	}
 	if in != nil {
 		addr = in.callerProxy.Addr()
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -147,6 +147,7 @@
 			out = append(out, Violation{"evacuation", fmt.Sprintf("%s reached %s in %s %s after its evacuation, via %s", r.ID, e.ID(), e.domain, r.Sent.Sub(at), r.Instance.name)})
 		}
 	}
+	out = append(out, w.checkRegion(r)...)
 	v := 0
 	_, _ = fmt.Sscanf(r.Path, "/only-%d/", &v) // Other paths give 0.
 	if at, ok := w.acked[v]; ok && v == w.version && r.Status == http.StatusNotFound && r.Sent.Sub(at) > configBound {
@@ -155,6 +156,29 @@
 	return out
 }
 
+// checkRegion checks that a request ran only in regions that a desired state allows
+// that may have been in force since it was sent. The caller holds mu.
+func (w *Cluster) checkRegion(r Request) []Violation {
+	allowed := map[string]bool{}
+	for v := w.version; v > 0; v-- {
+		region := allowedRegion(r.Path, v)
+		if region == "" {
+			return nil
+		}
+		allowed[region] = true
+		if r.Sent.Sub(w.acked[v]) > configBound {
+			break // All instances have this version or a later one.
+		}
+	}
+	var out []Violation
+	for _, e := range w.Endpoints {
+		if region := regionOf(e.domain); !allowed[region] && e.Ran(r.ID) {
+			out = append(out, Violation{"allowed region", fmt.Sprintf("%s (%s) ran at %s in region %s, via %s", r.ID, r.Path, e.ID(), region, r.Instance.name)})
+		}
+	}
+	return out
+}
+
 // boundsApply reports whether the time limits apply to the request: its process
 // is still running, and for settleTime neither the instance nor the store has
 // had a fault. The caller holds mu.
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -158,12 +158,12 @@
 	if in.callerProxy, err = NewProxy(in.entry); err != nil {
 		return err
 	}
-	regions := map[string]string{}
+	regionsByDomain := map[string]string{}
 	for _, d := range domains {
-		regions[d] = regionOf(d)
+		regionsByDomain[d] = regionOf(d)
 	}
 	text, err := json.Marshal(map[string]any{
-		"instance": in.name, "region": regionOf(in.domain), "domain": in.domain, "domains": regions,
+		"instance": in.name, "region": regionOf(in.domain), "domain": in.domain, "domains": regionsByDomain,
 		"listen": map[string]string{"requests": in.entry, "lookups": in.lookups, "ready": at(2), "peer": at(3)},
 		"store":  map[string]string{"address": proxy.Addr()},
 		"bounds": map[string]any{"grace": grace.String(), "retry_ratio": 0.2, "retry_slack": 120, "retry_window": "10s", "max_shift": 0.15},
@@ -282,19 +282,51 @@
 	w.Store.PutEndpoint(e.Endpoint, e.proxy.Addr(), leaving, cold)
 }
 
+// regions are the regions of the cluster.
+var regions = []string{"a", "b"}
+
+// The routes with these prefixes may run in one region only. The region of each
+// changes with every version of the desired state.
+const (
+	regionalPrefix = "/regional/"
+	nestedPrefix   = regionalPrefix + "nested/"
+)
+
+// allowedRegion returns the region in which a version of the desired state allows
+// the path to run, or "" if it may run in all.
+func allowedRegion(path string, version int) string {
+	switch {
+	case strings.HasPrefix(path, nestedPrefix):
+		return regions[(version+1)%len(regions)]
+	case strings.HasPrefix(path, regionalPrefix):
+		return regions[version%len(regions)]
+	}
+	return ""
+}
+
 // PutNextState writes the next version of the desired state to the store. Besides
 // the routes of all versions, each version has a route of its own.
 func (w *Cluster) PutNextState() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
+	w.putState()
+	w.acked[w.version] = time.Now()
+}
+
+// putState writes the desired state to the store. The caller holds mu.
+func (w *Cluster) putState() {
 	route := func(name, prefix string, repeatable bool) standin.Route {
 		return standin.Route{Name: name, Host: host, Prefix: prefix, Repeatable: repeatable, Service: "s",
 			Timeout: callerTimeout, Target: 300 * time.Millisecond}
 	}
+	regional := func(name, prefix string) standin.Route {
+		r := route(name, prefix, true)
+		r.Regions = []string{allowedRegion(prefix, w.version)}
+		return r
+	}
 	w.Store.PutDesiredState(w.version, 5, []string{"s"}, []standin.Route{route("safe", "/safe/", true), route("pay", "/pay/", false),
-		route("only", fmt.Sprintf("/only-%d/", w.version), true)})
-	w.acked[w.version] = time.Now()
+		route("only", fmt.Sprintf("/only-%d/", w.version), true), regional("regional", regionalPrefix), regional("nested", nestedPrefix)})
 }
 
 // Close stops the instances, endpoints, proxies and the store, and releases the
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -195,14 +195,14 @@
 		}
 		_ = resp.Body.Close()
 	}
-	for _, id := range []string{"twice", "twice", "refused", "other", "late", "good"} {
+	for _, id := range []string{"twice", "twice", "refused", "other", "late", "good", "abroad"} {
 		run(id)
 	}
 	now := time.Now()
 	in := &Instance{name: "i1", incarnation: 1, cmd: &exec.Cmd{Process: &os.Process{Pid: 1 << 30}}}
 	old := now.Add(-time.Minute)
 	w := &Cluster{Instances: []*Instance{in}, Endpoints: []*Endpoint{{Endpoint: e, domain: "a1", leaving: now.Add(-10 * time.Second)}},
-		version: 3, acked: map[int]time.Time{3: old}, evacuated: map[string]time.Time{"a1": now.Add(-10 * time.Second)}}
+		version: 3, acked: map[int]time.Time{2: old, 3: old}, evacuated: map[string]time.Time{"a1": now.Add(-10 * time.Second)}}
 	r := func(id, path string, status int, body string, after time.Duration) Request {
 		return Request{ID: id, Path: path, Unsafe: path == "/pay/x", Instance: in, Incarnation: 1, Status: status, Body: body,
 			Sent: now.Add(after), Ended: now.Add(after + time.Millisecond)}
@@ -236,6 +236,8 @@
 	}{
 		{"leaving endpoint in an evacuated failure domain", r("good", "/pay/x", 200, "answer to good by e1", 0), "[leaving evacuation]"},
 		{"new route not in force", r("good", "/only-3/x", 404, "", 0), "[in force]"},
+		{"outside the allowed region", r("abroad", "/regional/x", 500, "", 0), "[allowed region]"},
+		{"in the allowed region", r("abroad", "/regional/nested/x", 500, "", 0), "[]"},
 		{"older route", r("good", "/only-2/x", 404, "", 0), "[]"},
 	} {
 		if got := fmt.Sprint(guarantees(w.checkBounds(c.r))); got != c.want {
