serve: report a restore of the store once

Callers saw: nothing. An instance that learned of a restore from the store and from another instance at the same moment logged event 205 twice.

Cause: the era was compared before the copy was replaced.

Change: an instance remembers the era that it has reported.

TestRestoredStoreDesiredState asks for one event an instance.

--- a/internal/serve/restore.go
+++ b/internal/serve/restore.go
@@ -15,9 +15,16 @@
 // differ between the copy and the restored store change only after the grace
 // period.
 
-// storeRestored records that the store has come back in another era. from is the
-// instance that reported it, or empty for the store.
+// storeRestored records, once for each era, that the store has come back in another
+// era. from is the instance that reported it, or empty for the store.
 func (in *Instance) storeRestored(from model.InstanceID, before, now mirror.Position) {
+	in.applyMu.Lock()
+	known := in.restoredEra >= now.Era
+	in.restoredEra = max(in.restoredEra, now.Era)
+	in.applyMu.Unlock()
+	if known {
+		return
+	}
 	in.counters.storeRestored.Add(1)
 	in.log.Log(events.StoreRestored).Str("from", origin(from)).Object("before", before).Object("store", now).Send()
 	if from == "" {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -53,7 +53,7 @@
 	started   time.Time
 
 	// applyMu serializes applying the changes of the store's copy. It guards
-	// objectsRestored, missingGraceUntil, desired, entries and evacuations.
+	// objectsRestored, missingGraceUntil, restoredEra, desired, entries and evacuations.
 	applyMu sync.Mutex
 	// objectsRestored is set once the object record of an earlier process has
 	// been loaded.
@@ -62,9 +62,11 @@
 	// store. Until then an endpoint whose entry is deleted is marked as missing
 	// and not removed.
 	missingGraceUntil time.Time
-	desired           desiredRecord
-	entries           entryHistory
-	evacuations       evacuations
+	// restoredEra is the era of the last restore of the store.
+	restoredEra model.Era
+	desired     desiredRecord
+	entries     entryHistory
+	evacuations evacuations
 	// storeRestores wakes up announce when the store was restored.
 	storeRestores chan struct{}
 	// announced is set once the store lists the instance.
