--- a/internal/serve/restore.go
+++ b/internal/serve/restore.go
@@ -15,14 +15,17 @@
 // differ between the copy and the restored store change only after the grace
 // period.
 
-// storeRestored records that the store has come back in another era. from is the
-// instance that reported it, or empty for the store. Both may report the same
-// restore.
+// storeRestored records, once for each era, that the store has come back in another
+// era. from is the instance that reported it, or empty for the store.
 func (in *Instance) storeRestored(from model.InstanceID, before, now mirror.Position) {
 	if from == "" {
 		in.startMissingGrace(missingGrace)
 	}
-	if !in.firstReport(now.Era) {
+	in.applyMu.Lock()
+	known := in.restoredEra >= now.Era
+	in.restoredEra = max(in.restoredEra, now.Era)
+	in.applyMu.Unlock()
+	if known {
 		return
 	}
 	in.counters.storeRestored.Add(1)
@@ -33,20 +36,6 @@
 	}
 }
 
-// firstReport reports whether no restore to the era or a later one has been
-// reported before.
-func (in *Instance) firstReport(era model.Era) bool {
-	for {
-		reported := in.reportedEra.Load()
-		if reported >= uint64(era) {
-			return false
-		}
-		if in.reportedEra.CompareAndSwap(reported, uint64(era)) {
-			return true
-		}
-	}
-}
-
 // origin names the source of changes in the log.
 func origin(from model.InstanceID) string {
 	if from == "" {
