mirror: skip changes up to the position of the copy

Callers could see: requests sent to an endpoint whose entry had been removed, until the next listing.

Cause: Copy.Apply compared a change with the item of its key only. A deleted key has no item, so a change from before the deletion was applied again if the response of another instance, or of a watch that an instance had overtaken by fetching, arrived late.

Change: changes up to the position of the copy are skipped.

Evidence: TestLateChangesKeepDeletedKeysDeleted failed before with 'items [{a [49] 11}] at revision 12, want none at revision 12'.

Why it works: a copy contains every change up to its position, and positions only advance within an era.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -237,8 +237,7 @@
 func (c *Copy) applyItems(events []Event) []Event {
 	var applied []Event
 	for _, e := range events {
-		old, ok := c.items[e.Key]
-		if ok && e.Revision <= old.Revision {
+		if old, ok := c.items[e.Key]; e.Revision <= c.at.Revision || ok && e.Revision <= old.Revision {
 			continue
 		}
 		if e.Deleted {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -271,3 +271,16 @@
 		t.Fatal("changes since revision 5, which is before the first listing")
 	}
 }
+
+// Guards against a deleted key that comes back because an answer of another
+// instance or of the store arrives late.
+func TestLateChangesKeepDeletedKeysDeleted(t *testing.T) {
+	c := New(func(Batch) {})
+	c.Replace("", nil, Position{Revision: 10})
+	put := Event{Item: Item{"a", []byte("1"), 11}}
+	c.Apply("", []Event{put, {Item: Item{Key: "a", Revision: 12}, Deleted: true}}, Position{Revision: 12})
+	c.Apply("peer", []Event{put}, Position{Revision: 11})
+	if items, at := c.Snapshot(); len(items) != 0 || at.Revision != 12 {
+		t.Fatalf("items %v at revision %d, want none at revision 12", items, at.Revision)
+	}
+}
