mirror: let the log of changes begin after every change dropped from it

Callers could see: requests handled by an old desired state or sent to endpoints that had left, for good, through an instance that had fetched its changes from another one.

Cause: the log took the revision of the last dropped change as its beginning. The changes of a listing are not in the order of their revisions, so changes of later revisions could have been dropped as well. Since then claimed to have all changes. This takes a listing with more than 512 changes, such as those after an outage in which all entries have lapsed.

Change: the log begins after the highest revision dropped from it.

Evidence: TestSinceAfterUnorderedChanges failed before with '0 changes since revision 514, want 512'.

Why it works: a position at or above the beginning of the log now needs none of the dropped changes. An earlier one gets all items.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -189,7 +189,9 @@
 func (c *Copy) appendLog(events []Event) {
 	c.log = append(c.log, events...)
 	if over := len(c.log) - maxLogLength; over > 0 {
-		c.logFrom = max(c.logFrom, c.log[over-1].Revision)
+		for _, e := range c.log[:over] {
+			c.logFrom = max(c.logFrom, e.Revision)
+		}
 		c.log = append([]Event(nil), c.log[over:]...)
 	}
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -284,3 +284,21 @@
 		t.Fatalf("items %v at revision %d, want none at revision 12", items, at.Revision)
 	}
 }
+
+// Guards against an incomplete list of changes for another instance, because the
+// changes that were dropped from the log are not in the order of their revisions.
+func TestSinceAfterUnorderedChanges(t *testing.T) {
+	c := New(func(Batch) {})
+	c.Replace("", nil, Position{Revision: 1})
+	var items []Item
+	for r := Revision(2 + 2*maxLogLength); r > 1; r-- {
+		items = append(items, Item{fmt.Sprint("k", r), []byte("1"), r})
+	}
+	at := items[0].Revision
+	c.Replace("", items, Position{Revision: at})
+	for after := Revision(1); after < at; after++ {
+		if events, _, ok := c.Since(Position{Revision: after}); ok && len(events) != int(at-after) {
+			t.Fatalf("%d changes since revision %d, want %d", len(events), after, at-after)
+		}
+	}
+}
