mirror: log the changes made during the first listing

Callers could see: an instance keeps the old entry of an endpoint until it changes again.

The first listing of a copy filled the items but not the log, and the watch that followed skipped the changes that the items already contained. Since therefore left out changes of keys on later pages made while the listing was read.

Change: the items of a first listing, or of a listing in another era, that are newer than its position begin the log.

Evidence: TestSinceHasChangesMadeDuringTheFirstListing failed before with 'changes since revision 11 are [], want b'.

Why it works: the log holds all changes after the position of the listing again: those that the listing shows, and those that the watch delivers.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -6,7 +6,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -131,6 +133,7 @@
 	if before == (Position{}) || b.Restored {
 		b.Events = c.replaceAll(items, at.Revision)
 		c.log, c.logFrom = nil, at.Revision
+		c.appendLog(newerItems(items, at.Revision))
 	} else {
 		b.Events = c.replaceItems(items, at.Revision)
 		c.appendLog(b.Events)
@@ -184,6 +187,19 @@
 	return events
 }
 
+// newerItems returns the items that changed after a listing began, as changes in
+// order.
+func newerItems(items []Item, at Revision) []Event {
+	var out []Event
+	for _, it := range items {
+		if it.Revision > at {
+			out = append(out, Event{Item: it})
+		}
+	}
+	slices.SortFunc(out, func(a, b Event) int { return cmp.Compare(a.Revision, b.Revision) })
+	return out
+}
+
 // appendLog adds changes to the log and drops the oldest ones if it is full. The
 // lock is held.
 func (c *Copy) appendLog(events []Event) {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -302,3 +302,15 @@
 		}
 	}
 }
+
+// Guards against a change that never reaches other copies, because it was made
+// between two pages of the first listing.
+func TestSinceHasChangesMadeDuringTheFirstListing(t *testing.T) {
+	c := New(func(Batch) {})
+	b := Item{"b", []byte("1"), 12}
+	c.Replace("", []Item{{"a", []byte("1"), 5}, b}, Position{Revision: 10})
+	c.Apply("", []Event{{Item: b}}, Position{Revision: 12})
+	if events, _, ok := c.Since(Position{Revision: 11}); ok && len(events) != 1 {
+		t.Fatalf("changes since revision 11 are %v, want b", events)
+	}
+}
