mirror: begin the log of changes anew with each listing

Callers could see: requests sent for good to an endpoint that had left, through an instance that had fetched its changes from another one.

Cause: a listing shows the items at one moment. Of a key that was written after the last position of a copy and deleted again before the listing, it shows nothing. Since nevertheless claimed to have all changes after positions between the two. Another copy that had seen the key written then kept it. The same happened to a copy whose own listing had been read while the key existed.

Change: the log begins at the position of each listing, with the items that are newer than it. Copies before that position get all items. TestSinceAfterUnorderedChanges now also fills the log with the changes of another instance, because a listing no longer does.

Cost: an instance that lists again, because the store has compacted the history or a watch has missed changes, sends all items to each instance that fetches from it, where it sent the differences before.

Why it works: the log holds only changes that the store or another log delivered one by one, and those that are newer than the listing. Positions that these do not cover get all items at a later position, in which a missing key is deleted.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -132,12 +132,13 @@
 	b := Batch{From: from, Era: at.Era, Restored: before != Position{} && at.Era != before.Era}
 	if before == (Position{}) || b.Restored {
 		b.Events = c.replaceAll(items, at.Revision)
-		c.log, c.logFrom = nil, at.Revision
-		c.appendLog(newerItems(items, at.Revision))
 	} else {
 		b.Events = c.replaceItems(items, at.Revision)
-		c.appendLog(b.Events)
 	}
+	// A listing does not show keys that were written and deleted again since the
+	// last position, so other copies between the two need all items.
+	c.log, c.logFrom = nil, at.Revision
+	c.appendLog(newerItems(c.items, at.Revision))
 	c.at = at
 	c.mu.Unlock()
 	if len(b.Events) > 0 {
@@ -189,7 +190,7 @@
 
 // newerItems returns the items that changed after a listing began, as changes in
 // order.
-func newerItems(items []Item, at Revision) []Event {
+func newerItems(items map[string]Item, at Revision) []Event {
 	var out []Event
 	for _, it := range items {
 		if it.Revision > at {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -288,17 +288,24 @@
 // Guards against an incomplete list of changes for another instance, because the
 // changes that were dropped from the log are not in the order of their revisions.
 func TestSinceAfterUnorderedChanges(t *testing.T) {
-	c := New(func(Batch) {})
-	c.Replace("", nil, Position{Revision: 1})
 	var items []Item
+	var events []Event
 	for r := Revision(2 + 2*maxLogLength); r > 1; r-- {
-		items = append(items, Item{fmt.Sprint("k", r), []byte("1"), r})
+		it := Item{fmt.Sprint("k", r), []byte("1"), r}
+		items, events = append(items, it), append(events, Event{Item: it})
 	}
-	at := items[0].Revision
-	c.Replace("", items, Position{Revision: at})
-	for after := Revision(1); after < at; after++ {
-		if events, _, ok := c.Since(Position{Revision: after}); ok && len(events) != int(at-after) {
-			t.Fatalf("%d changes since revision %d, want %d", len(events), after, at-after)
+	last := Position{Revision: items[0].Revision}
+	for name, fill := range map[string]func(*Copy){
+		"listing":        func(c *Copy) { c.Replace("", items, last) },
+		"other instance": func(c *Copy) { c.Apply("peer", events, last) },
+	} {
+		c := New(func(Batch) {})
+		c.Replace("", nil, Position{Revision: 1})
+		fill(c)
+		for after := Revision(1); after < last.Revision; after++ {
+			if events, _, ok := c.Since(Position{Revision: after}); ok && len(events) != int(last.Revision-after) {
+				t.Fatalf("%s: %d changes since revision %d, want %d", name, len(events), after, last.Revision-after)
+			}
 		}
 	}
 }
@@ -314,3 +321,15 @@
 		t.Fatalf("changes since revision 11 are %v, want b", events)
 	}
 }
+
+// Guards against a key that another copy keeps for good, because it was written
+// and deleted again between two listings.
+func TestSinceCoversKeysThatNoListingShows(t *testing.T) {
+	c := New(func(Batch) {})
+	c.Replace("", nil, Position{Revision: 10})
+	// The key b was written at revision 15 and deleted at revision 18.
+	c.Replace("", []Item{{"a", []byte("1"), 20}}, Position{Revision: 20})
+	if events, _, ok := c.Since(Position{Revision: 16}); ok {
+		t.Fatalf("changes since revision 16 are %v, without the removal of b", events)
+	}
+}
