--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	_ "jujubestile.example/jujubestile/internal/fixedseed" // Fixes the seed of property tests.
+	"jujubestile.example/jujubestile/internal/model"
 )
 
 const (
@@ -43,11 +44,30 @@
 type syncModel struct {
 	*source
 	t        *rapid.T
+	steps    []string
+	era      model.Era
+	saved    storeCopy
 	replicas []*replica
 	pending  []func()
 }
 
-func (m *syncModel) position() Position { return Position{1, m.at} }
+// storeCopy is a copy from which the store can be restored.
+type storeCopy struct {
+	items   map[string]Item
+	history []Event
+	at      Revision
+}
+
+func (m *syncModel) position() Position { return Position{m.era, m.at} }
+
+func (m *syncModel) save() {
+	m.saved = storeCopy{maps.Clone(m.items), slices.Clone(m.history), m.at}
+}
+
+func (m *syncModel) restore() {
+	m.items, m.history, m.at = maps.Clone(m.saved.items), slices.Clone(m.saved.history), m.saved.at
+	m.era++
+}
 
 func (m *syncModel) pick(name string) *replica {
 	return m.replicas[rapid.IntRange(0, len(m.replicas)-1).Draw(m.t, name)]
@@ -74,7 +94,7 @@
 
 func (m *syncModel) watch(r *replica) func() {
 	after, _ := r.Position(time.Now())
-	if after == (Position{}) {
+	if after.Era != m.era {
 		return m.list(r)
 	}
 	var events []Event
@@ -102,6 +122,9 @@
 	}
 	first := page(false)
 	return func() {
+		if at.Era != m.era {
+			return // The listing has failed.
+		}
 		items := append(first, page(true)...)
 		shuffle.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
 		r.Replace("", items, at)
@@ -129,10 +152,16 @@
 
 func (m *syncModel) step() {
 	var call func()
-	switch rapid.SampledFrom([]string{"write", "write", "watch", "list", "fetch", "fetch", "respond", "respond"}).Draw(m.t, "step") {
+	switch rapid.SampledFrom(m.steps).Draw(m.t, "step") {
 	case "write":
 		m.write()
 		return
+	case "save":
+		m.save()
+		return
+	case "restore":
+		m.restore()
+		return
 	case "watch":
 		call = m.watch(m.pick("watcher"))
 	case "list":
@@ -154,31 +183,45 @@
 	}
 }
 
+// steps are the steps of a model whose store is not restored.
+var steps = []string{"write", "write", "watch", "list", "fetch", "fetch", "respond", "respond"}
+
 // Guards against copies that differ from the store for good, because the log of
 // changes has a gap, changes arrive out of order, or a copy passes a revision
 // without a change up to it.
 func TestCopiesConverge(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := &syncModel{source: newSource(), t: t}
-		for range syncCopies {
-			m.replicas = append(m.replicas, newReplica())
-		}
-		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			m.step()
-		}
-		for _, respond := range m.pending {
-			respond()
-		}
-		m.put("last", "1")
-		m.watch(m.replicas[0])()
-		for _, r := range m.replicas {
-			m.fetch(r, m.replicas[0])()
-			m.watch(r)()
-		}
-		for n, r := range m.replicas {
-			m.compare(n, r)
-		}
-	})
+	rapid.Check(t, func(t *rapid.T) { converge(t, steps) })
+}
+
+// Guards against copies that differ from the store for good after it was restored
+// one or several times.
+func TestCopiesConvergeAfterRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { converge(t, append([]string{"save", "restore"}, steps...)) })
+}
+
+// converge makes random steps, lets all copies catch up and compares them with the
+// store.
+func converge(t *rapid.T, steps []string) {
+	m := &syncModel{source: newSource(), t: t, steps: steps, era: 1}
+	m.save()
+	for range syncCopies {
+		m.replicas = append(m.replicas, newReplica())
+	}
+	for range rapid.IntRange(1, 40).Draw(t, "steps") {
+		m.step()
+	}
+	for _, respond := range m.pending {
+		respond()
+	}
+	m.put("last", "1")
+	m.watch(m.replicas[0])()
+	for _, r := range m.replicas {
+		m.fetch(r, m.replicas[0])()
+		m.watch(r)()
+	}
+	for n, r := range m.replicas {
+		m.compare(n, r)
+	}
 }
 
 // compare checks a copy and what its consumer was told against the store.
