--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,7 +76,7 @@
 	transport *fakeTransport
 	log       *logtest.Buffer
 	table     *steering.Table
-	state     *desired.State
+	state     atomic.Pointer[desired.State]
 }
 
 // newTestServer starts a handler with four endpoints and two routes: requests
@@ -93,11 +94,11 @@
 		return desired.Route{Name: prefix, Host: "h.example", Prefix: prefix, Repeatable: safe, Rank: rank, Timeout: 500 * time.Millisecond,
 			TargetLatency: 200 * time.Millisecond, MaxAttempts: 2, Sticky: true, TrafficSplit: []desired.WeightedService{{Service: "s", Weight: 1}}}
 	}
-	s.state = desired.New(7, []desired.Route{route("/safe/", true, 1), route("/pay/", false, 0)},
-		[]desired.Service{{Name: "s", MaxConnections: 100}}, desired.Limits{MaxBodyBytes: 1000})
+	s.state.Store(desired.New(7, []desired.Route{route("/safe/", true, 1), route("/pay/", false, 0)},
+		[]desired.Service{{Name: "s", MaxConnections: 100}}, desired.Limits{MaxBodyBytes: 1000}))
 	s.Handler = forward.New(forward.Config{Protocol: testProtocol{}, EngineConfig: forward.EngineConfig{Log: events.New(s.log, zerolog.DebugLevel, "i1"), Table: s.table,
 		Transport: s.transport, Budget: forward.NewBudget(forward.BudgetConfig{Ratio: 0.2, Slack: 120, Window: 10 * time.Second}),
-		Rand: rand.New(rand.NewPCG(3, 4)), State: func() *desired.State { return s.state }, Instances: func() int { return 1 },
+		Rand: rand.New(rand.NewPCG(3, 4)), State: s.state.Load, Instances: func() int { return 1 },
 		OnUnreachable: func(steering.Endpoint, error) {}}})
 	s.server = httptest.NewUnstartedServer(s.Handler)
 	s.server.Config.ConnContext = forward.ConnContext
@@ -337,7 +338,7 @@
 // must refuse with 503.
 func TestWithoutDesiredState(t *testing.T) {
 	s := newTestServer(t, nil)
-	s.state = nil
+	s.state.Store(nil)
 	if resp, _ := s.send(t, "GET", "/safe/x", "r1"); resp.StatusCode != 503 {
 		t.Fatalf("status %d", resp.StatusCode)
 	}
@@ -382,7 +383,7 @@
 	s.Handler = nil
 	h := forward.New(forward.Config{Protocol: testProtocol{}, EngineConfig: forward.EngineConfig{Log: events.New(sink, zerolog.DebugLevel, "i1"), Table: s.table,
 		Transport: s.transport, Budget: forward.NewBudget(forward.BudgetConfig{Ratio: 0.2, Slack: 120, Window: 10 * time.Second}),
-		Rand: rand.New(rand.NewPCG(3, 4)), State: func() *desired.State { return s.state }, Instances: func() int { return 1 },
+		Rand: rand.New(rand.NewPCG(3, 4)), State: s.state.Load, Instances: func() int { return 1 },
 		OnUnreachable: func(steering.Endpoint, error) {}}})
 	start := time.Now()
 	for i := range 1000 {
