--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"jujubestile.example/jujubestile/internal/model"
 )
 
 // Guards against a copy that ignores a later era because its revisions are
@@ -56,3 +59,61 @@
 		t.Errorf("%d listings in 200 ms with pauses of 20 ms", s.lists)
 	}
 }
+
+// eraSource is a source that reports an era.
+type eraSource struct {
+	*source
+	era atomic.Uint64
+}
+
+func (s *eraSource) in(p Position) Position { p.Era = model.Era(s.era.Load()); return p }
+
+func (s *eraSource) List(ctx context.Context) ([]Item, Position, error) {
+	items, at, err := s.source.List(ctx)
+	return items, s.in(at), err
+}
+
+func (s *eraSource) Position(ctx context.Context) (Position, error) {
+	at, err := s.source.Position(ctx)
+	return s.in(at), err
+}
+
+func (s *eraSource) Watch(ctx context.Context, after Position, wait time.Duration) ([]Event, Position, error) {
+	events, at, err := s.source.Watch(ctx, after, wait)
+	return events, s.in(at), err
+}
+
+// Guards against a copy that never gets a change again because the store has
+// stopped reporting its era, or has lost the count of its eras.
+func TestStoreInAnEarlierEraIsFollowed(t *testing.T) {
+	c := New(func(Batch) {})
+	s := &eraSource{source: newSource()}
+	s.era.Store(2)
+	f := Follower{Copy: c, Source: s, Active: func() bool { return true }, WatchTimeout: 20 * time.Millisecond, VerifyInterval: 20 * time.Millisecond,
+		RetryMin: 5 * time.Millisecond, RetryMax: 20 * time.Millisecond, OnUnavailable: func(error) {}, OnAvailable: func(time.Duration) {},
+		OnRestored: func(Position, Position) {}, OnCompacted: func(Position) {}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	has := func(key string) bool {
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			items, _ := c.Snapshot()
+			for _, it := range items {
+				if it.Key == key {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	s.put("a", "1")
+	if !has("a") {
+		t.Fatal("a is missing")
+	}
+	s.era.Store(0)
+	s.put("b", "1")
+	if !has("b") {
+		t.Error("b, which was written in an earlier era, is missing after 2 s")
+	}
+}
