--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -6,7 +6,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -130,11 +132,13 @@
 	b := Batch{From: from, Era: at.Era, Restored: before != Position{} && at.Era != before.Era}
 	if before == (Position{}) || b.Restored {
 		b.Events = c.replaceAll(items, at.Revision)
-		c.log, c.logFrom = nil, at.Revision
 	} else {
 		b.Events = c.replaceItems(items, at.Revision)
-		c.appendLog(b.Events)
 	}
+	// A listing does not show keys that were written and deleted again since the
+	// last position, so other copies between the two need all items.
+	c.log, c.logFrom = nil, at.Revision
+	c.appendLog(newerItems(c.items, at.Revision))
 	c.at = at
 	c.mu.Unlock()
 	if len(b.Events) > 0 {
@@ -184,12 +188,27 @@
 	return events
 }
 
+// newerItems returns the items that changed after a listing began, as changes in
+// order.
+func newerItems(items map[string]Item, at Revision) []Event {
+	var out []Event
+	for _, it := range items {
+		if it.Revision > at {
+			out = append(out, Event{Item: it})
+		}
+	}
+	slices.SortFunc(out, func(a, b Event) int { return cmp.Compare(a.Revision, b.Revision) })
+	return out
+}
+
 // appendLog adds changes to the log and drops the oldest ones if it is full. The
 // lock is held.
 func (c *Copy) appendLog(events []Event) {
 	c.log = append(c.log, events...)
 	if over := len(c.log) - maxLogLength; over > 0 {
-		c.logFrom = max(c.logFrom, c.log[over-1].Revision)
+		for _, e := range c.log[:over] {
+			c.logFrom = max(c.logFrom, e.Revision)
+		}
 		c.log = append([]Event(nil), c.log[over:]...)
 	}
 }
@@ -237,8 +256,7 @@
 func (c *Copy) applyItems(events []Event) []Event {
 	var applied []Event
 	for _, e := range events {
-		old, ok := c.items[e.Key]
-		if ok && e.Revision <= old.Revision {
+		if old, ok := c.items[e.Key]; e.Revision <= c.at.Revision || ok && e.Revision <= old.Revision {
 			continue
 		}
 		if e.Deleted {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -271,3 +271,65 @@
 		t.Fatal("changes since revision 5, which is before the first listing")
 	}
 }
+
+// Guards against a deleted key that comes back because an answer of another
+// instance or of the store arrives late.
+func TestLateChangesKeepDeletedKeysDeleted(t *testing.T) {
+	c := New(func(Batch) {})
+	c.Replace("", nil, Position{Revision: 10})
+	put := Event{Item: Item{"a", []byte("1"), 11}}
+	c.Apply("", []Event{put, {Item: Item{Key: "a", Revision: 12}, Deleted: true}}, Position{Revision: 12})
+	c.Apply("peer", []Event{put}, Position{Revision: 11})
+	if items, at := c.Snapshot(); len(items) != 0 || at.Revision != 12 {
+		t.Fatalf("items %v at revision %d, want none at revision 12", items, at.Revision)
+	}
+}
+
+// Guards against an incomplete list of changes for another instance, because the
+// changes that were dropped from the log are not in the order of their revisions.
+func TestSinceAfterUnorderedChanges(t *testing.T) {
+	var items []Item
+	var events []Event
+	for r := Revision(2 + 2*maxLogLength); r > 1; r-- {
+		it := Item{fmt.Sprint("k", r), []byte("1"), r}
+		items, events = append(items, it), append(events, Event{Item: it})
+	}
+	last := Position{Revision: items[0].Revision}
+	for name, fill := range map[string]func(*Copy){
+		"listing":        func(c *Copy) { c.Replace("", items, last) },
+		"other instance": func(c *Copy) { c.Apply("peer", events, last) },
+	} {
+		c := New(func(Batch) {})
+		c.Replace("", nil, Position{Revision: 1})
+		fill(c)
+		for after := Revision(1); after < last.Revision; after++ {
+			if events, _, ok := c.Since(Position{Revision: after}); ok && len(events) != int(last.Revision-after) {
+				t.Fatalf("%s: %d changes since revision %d, want %d", name, len(events), after, last.Revision-after)
+			}
+		}
+	}
+}
+
+// Guards against a change that never reaches other copies, because it was made
+// between two pages of the first listing.
+func TestSinceHasChangesMadeDuringTheFirstListing(t *testing.T) {
+	c := New(func(Batch) {})
+	b := Item{"b", []byte("1"), 12}
+	c.Replace("", []Item{{"a", []byte("1"), 5}, b}, Position{Revision: 10})
+	c.Apply("", []Event{{Item: b}}, Position{Revision: 12})
+	if events, _, ok := c.Since(Position{Revision: 11}); ok && len(events) != 1 {
+		t.Fatalf("changes since revision 11 are %v, want b", events)
+	}
+}
+
+// Guards against a key that another copy keeps for good, because it was written
+// and deleted again between two listings.
+func TestSinceCoversKeysThatNoListingShows(t *testing.T) {
+	c := New(func(Batch) {})
+	c.Replace("", nil, Position{Revision: 10})
+	// The key b was written at revision 15 and deleted at revision 18.
+	c.Replace("", []Item{{"a", []byte("1"), 20}}, Position{Revision: 20})
+	if events, _, ok := c.Since(Position{Revision: 16}); ok {
+		t.Fatalf("changes since revision 16 are %v, without the removal of b", events)
+	}
+}
