daemon: wait for slots before an instance counts as ready

Seen: TestStoreOutageWithKilledInstance failed once beside load with 0 of 2,411 requests answered and all instances without slots.

Cause: an instance counted as ready once the store or the platform's list had confirmed it. A read of a capacity record that does not exist yet confirms it too, so that the store could fail before any slot of the region had an owner. Shares were computed from the members that are ready, so that the first instance to claim often took all slots of its region.

Change: an instance is ready only when it has claimed its share of the slots without an owner and may use slots that it owns, or a ready instance of its region can lend it some. A region without capacity needs none. Once true, this stays true: readiness then depends on the same conditions as before. Until then lookups do not return the instance and it accepts no requests. Member records say whether a member is starting. Starting members count when shares are computed, but are not asked for slots; otherwise all instances of a region that start together would wait for each other to be ready.

--- a/internal/capacity/borrow.go
+++ b/internal/capacity/borrow.go
@@ -43,6 +43,9 @@
 	ID     model.InstanceID
 	Region model.Region
 	Domain model.Domain
+	// Starting means that the instance is not ready yet. It claims slots but
+	// lends none.
+	Starting bool
 }
 
 // BorrowCall is a Borrow call that the driver has to make.
@@ -127,14 +130,14 @@
 	}
 }
 
-// SetPeers sets the live instances of all regions that may lend. Leaving
-// instances are not among them.
+// SetPeers sets the live instances of all regions. Leaving instances are not
+// among them. Those that are starting are not asked for slots.
 func (s *State) SetPeers(peers []Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.borrow.peers = make(map[model.Region][]Peer)
 	for _, p := range peers {
-		if p.ID != s.cfg.Self {
+		if p.ID != s.cfg.Self && !p.Starting {
 			s.borrow.peers[p.Region] = append(s.borrow.peers[p.Region], p)
 		}
 	}
--- a/internal/capacity/driver.go
+++ b/internal/capacity/driver.go
@@ -65,7 +65,8 @@
 
 // Members is what the driver needs to know about other instances.
 type Members interface {
-	// Peers returns the live instances of all regions that are not leaving.
+	// Peers returns the live instances of all regions that are not leaving,
+	// including those that are starting.
 	Peers() []Peer
 	// Listing returns the entry instances in the latest listing of the platform
 	// and when the read of that listing began. It reports false before the
--- a/internal/capacity/ownership.go
+++ b/internal/capacity/ownership.go
@@ -78,6 +78,8 @@
 	// its capacity.
 	unsettled map[model.Service]time.Time
 
+	// hadSlots is set once HasSlots has returned true.
+	hadSlots bool
 	// members are the live instances of the region, this one included.
 	members          []model.InstanceID
 	membersChangedAt time.Time
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -47,6 +47,8 @@
 		return false, "no peer has told where traffic shifts stand"
 	case !d.capacity.Admitting(time.Now()):
 		return false, "the platform's list or the store must confirm the instance"
+	case !d.capacity.HasSlots(time.Now()):
+		return false, "the instance neither owns slots nor knows an instance of its region that lends some"
 	}
 	return true, ""
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -170,7 +170,7 @@
 			ID: s.Instance, Region: s.Region, Domain: s.Domain, Incarnation: d.incarnation,
 			EntryAddr: s.Listen.Entry, PeerAddr: s.Listen.Peer, ControlAddr: s.Listen.Control,
 			// Lookups do not return the instance until it is ready.
-			Leaving: true,
+			Leaving: true, Starting: true,
 		},
 		Caller:       d.pool,
 		Source:       &timedSource{Source: d.source, began: &d.listing.began},
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -123,7 +123,9 @@
 	if d.IsReady() {
 		if !d.ready.Swap(true) {
 			d.log.Log(events.Ready).Uint64("revision", d.rules.Head().Revision).Send()
-			if !d.drained.Load() {
+			if d.drained.Load() {
+				d.members.Drain()
+			} else {
 				d.members.Undrain()
 			}
 		}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -112,8 +112,11 @@
 // Peers implements capacity.Members.
 func (m capacityMembers) Peers() []capacity.Peer {
 	var out []capacity.Peer
-	for _, s := range m.d.alivePeers() {
-		out = append(out, capacity.Peer{ID: s.ID, Region: s.Region, Domain: s.Domain})
+	for _, s := range m.d.members.View().Members {
+		starting := s.State == membership.StateLeaving && s.Starting
+		if s.ID != m.d.settings.Instance && (s.State == membership.StateAlive || starting) {
+			out = append(out, capacity.Peer{ID: s.ID, Region: s.Region, Domain: s.Domain, Starting: starting})
+		}
 	}
 	return out
 }
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -71,6 +71,9 @@
 	Health  Health
 	// Leaving means that the member accepts no new callers.
 	Leaving bool
+	// Starting means that the member is leaving only because it has not been
+	// ready yet.
+	Starting bool
 	// Successor is the instance that holds the member's ledger records after a
 	// graceful shutdown.
 	Successor model.InstanceID
@@ -134,7 +137,10 @@
 	}
 	buf = append(buf, byte(m.Health), m.LoadClass, 0)
 	if m.Leaving {
-		buf[len(buf)-1] = 1
+		buf[len(buf)-1] |= 1
+	}
+	if m.Starting {
+		buf[len(buf)-1] |= 2
 	}
 	return uint32(xxhash.Sum64(buf))
 }
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -234,10 +234,10 @@
 }
 
 // Drain announces that this instance accepts no new callers.
-func (n *Node) Drain() { n.update(func(m *Member) { m.Leaving = true }) }
+func (n *Node) Drain() { n.update(func(m *Member) { m.Leaving, m.Starting = true, false }) }
 
-// Undrain reverts Drain.
-func (n *Node) Undrain() { n.update(func(m *Member) { m.Leaving = false }) }
+// Undrain reverts Drain, or announces that a starting instance is ready.
+func (n *Node) Undrain() { n.update(func(m *Member) { m.Leaving, m.Starting = false, false }) }
 
 // SetSuccessor announces which instance has taken over the ledger records.
 func (n *Node) SetSuccessor(id model.InstanceID) {
