--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -229,16 +229,6 @@
 	return ex.req.Route.Rank
 }
 
-// allows returns a function that reports whether an attempt may run in a
-// region.
-func (ex *execution) allows(permit Permit) func(model.Region) bool {
-	if permit == nil {
-		return ex.req.Route.Allows
-	}
-	region := permit.Region()
-	return func(r model.Region) bool { return r == region && ex.req.Route.Allows(r) }
-}
-
 // intentRetryAfter is the Retry-After of a request whose intent could not be
 // recorded. By then another instance is the witness, which keeps the record.
 const intentRetryAfter = time.Second
