forward: log the region and the allowed regions of a request

A request that ran outside its home region could not be explained from the logs: the lines named the endpoint's failure domain but neither its region nor the regions that the route allowed, and successes on such routes, which are rare, hardly ever were in the sample. They have a sample of their own now.

--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -52,18 +52,21 @@
 	metrics  *Metrics
 	// running counts running attempts, including those that continue without
 	// their caller.
-	running       sync.WaitGroup
-	sampleOK      events.Limiter
-	sampleRefused events.Limiter
-	sampleFailed  events.Limiter
+	running  sync.WaitGroup
+	sampleOK events.Limiter
+	// sampleRegional is for answered requests whose route has allowed regions.
+	sampleRegional events.Limiter
+	sampleRefused  events.Limiter
+	sampleFailed   events.Limiter
 }
 
 // NewEngine returns an engine.
 func NewEngine(cfg EngineConfig) *Engine {
 	return &Engine{cfg: cfg, split: newSplitter(cfg.Rand), timeouts: newCallerTimeouts(), queues: newWaitQueues(), metrics: newMetrics(),
-		sampleOK:      events.Limiter{PerSecond: okLinesPerSecond},
-		sampleRefused: events.Limiter{PerSecond: refusedLinesPerSecond},
-		sampleFailed:  events.Limiter{PerSecond: failedLinesPerSecond},
+		sampleOK:       events.Limiter{PerSecond: okLinesPerSecond},
+		sampleRegional: events.Limiter{PerSecond: okLinesPerSecond},
+		sampleRefused:  events.Limiter{PerSecond: refusedLinesPerSecond},
+		sampleFailed:   events.Limiter{PerSecond: failedLinesPerSecond},
 	}
 }
 
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -14,7 +14,7 @@
 	if p == nil {
 		return e
 	}
-	e = e.Str("service", string(p.Service)).Str("endpoint", string(p.ID)).Str("domain", string(p.Domain)).
+	e = e.Str("service", string(p.Service)).Str("endpoint", string(p.ID)).Str("domain", string(p.Domain)).Str("region", string(p.Region)).
 		Dur("expected_ms", p.Expected).Int("load", p.Load).Int("slots", p.Slots).Bool("warm", p.Warm)
 	if p.Cold {
 		e = e.Bool("cold", true)
@@ -31,6 +31,9 @@
 	switch event {
 	case events.RequestAnswered:
 		limiter = &e.sampleOK
+		if req.Route != nil && len(req.Route.AllowedRegions) > 0 {
+			limiter = &e.sampleRegional
+		}
 	case events.RequestRefused:
 		limiter = &e.sampleRefused
 	}
@@ -43,6 +46,9 @@
 	if req.Route != nil {
 		l = l.Str("route", req.Route.Name).Int("rank", req.Route.Rank).Str("object", req.ObjectName).Bool("repeatable", req.Route.Repeatable).
 			Dur("left_ms", time.Until(req.Deadline)).Dur("on_time_ms", time.Until(req.SoftDeadline))
+		if allowed := req.Route.AllowedRegions; len(allowed) > 0 {
+			l = l.Any("allowed_regions", allowed)
+		}
 	}
 	if a.Expected > 0 {
 		l = l.Dur("expected_ms", a.Expected)
