soak: restore the store from an older copy

The users announced drills in which the store comes back from a copy some seconds old. The soak now plays them: keys, leases and revisions go back, the era rises, and the operator and the endpoints write again a second later. The kind has a stream of its own, so that the schedules of earlier seeds stay.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -100,6 +100,8 @@
 	// leaving is when the store acknowledged that the endpoint is leaving, or
 	// zero.
 	leaving time.Time
+	// gone means that the entry has been removed from the store.
+	gone bool
 	// excluded endpoints are not selected for faults.
 	excluded bool
 	// otherService endpoints belong to a service that has no route.
@@ -282,6 +284,34 @@
 	w.Store.PutEndpoint(e.Endpoint, e.proxy.Addr(), leaving, cold)
 }
 
+// rewriteRecords writes to the store what the operator and the endpoints have
+// written before, and removes the records that they have removed.
+func (w *Cluster) rewriteRecords() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.putState()
+	for _, d := range domains {
+		if on := !w.evacuated[d].IsZero(); on != w.Store.Evacuated(d) {
+			w.Store.Evacuate(d, on)
+		}
+	}
+	for _, e := range w.Endpoints {
+		if e.gone {
+			w.Store.RemoveEndpoint(e.ID())
+		} else {
+			w.listEndpoint(e, !e.leaving.IsZero(), 0)
+		}
+	}
+}
+
+// removeEndpoint removes the entry of an endpoint from the store.
+func (w *Cluster) removeEndpoint(e *Endpoint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e.gone = true
+	w.Store.RemoveEndpoint(e.ID())
+}
+
 // regions are the regions of the cluster.
 var regions = []string{"a", "b"}
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -63,6 +63,7 @@
 	"callers reset":    callerProxyFault(func(p *Proxy) { p.Reset() }),
 	"callers slow":     callerProxyFault(func(p *Proxy) { p.delay.Store(int64(60 * time.Millisecond)) }),
 	"settings":         changeSettings,
+	"store restored":   restoreStore,
 }
 
 // faultKinds lists the kinds in a fixed order, so that a seed determines the
@@ -75,9 +76,13 @@
 // separately, so that the schedules of those seeds keep their faults.
 var addedKinds = []string{"callers cut", "callers one way", "callers reset", "callers slow", "settings"}
 
+// restoreKinds have a stream of their own for the same reason.
+var restoreKinds = []string{"store restored"}
+
 // Schedule returns the random faults of a run. It depends only on its arguments.
 func Schedule(seed uint64, length time.Duration) []Fault {
-	return append(drawFaults(seed, 7, faultKinds, 900, length), drawFaults(seed, 8, addedKinds, 2000, length)...)
+	out := append(drawFaults(seed, 7, faultKinds, 900, length), drawFaults(seed, 8, addedKinds, 2000, length)...)
+	return append(out, drawFaults(seed, 9, restoreKinds, 6000, length)...)
 }
 
 // drawFaults draws faults of the given kinds. The gap between two draws is 100 to
@@ -204,6 +209,26 @@
 	}
 }
 
+// rewriteDelay is how long after a restore of the store its writers write again what
+// was lost.
+const rewriteDelay = time.Second
+
+// restoreStore takes the store down and brings it back from a copy that is as old as
+// the fault lasts.
+func restoreStore(w *Cluster, f Fault) {
+	saved := w.Store.Copy()
+	time.Sleep(f.Duration)
+	w.noteStoreFault()
+	w.Store.SetFaults(standin.StoreFaults{Down: true})
+	time.Sleep(f.Duration / 2)
+	w.Store.Restore(saved)
+	w.Store.SetFaults(standin.StoreFaults{})
+	w.noteStoreFault()
+	time.Sleep(rewriteDelay)
+	w.rewriteRecords()
+	w.noteStoreFault()
+}
+
 func storeProxyFault(inject func(*Proxy)) func(*Cluster, Fault) {
 	return func(w *Cluster, f Fault) {
 		in := w.pickInstance(f)
@@ -275,7 +300,7 @@
 	w.addColdEndpoint(e.domain)
 	const drainTime = 4 * time.Second
 	time.Sleep(drainTime)
-	w.Store.RemoveEndpoint(e.ID())
+	w.removeEndpoint(e)
 }
 
 // crashEndpoint stops an endpoint without notice. Later its entry is removed and
@@ -290,7 +315,7 @@
 	w.mu.Unlock()
 	e.Close()
 	time.Sleep(f.Duration)
-	w.Store.RemoveEndpoint(e.ID())
+	w.removeEndpoint(e)
 	w.addColdEndpoint(e.domain)
 }
 
@@ -317,7 +342,7 @@
 	}
 	w.mu.Unlock()
 	time.Sleep(f.Duration)
-	w.Store.RemoveEndpoint(e.ID())
+	w.removeEndpoint(e)
 	w.addColdEndpoint(e.domain)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -280,7 +281,7 @@
 	if fmt.Sprint(a) != fmt.Sprint(b) || len(a) < 20 {
 		t.Fatalf("schedules of the same seed differ or are too short: %d and %d faults", len(a), len(b))
 	}
-	for _, k := range faultKinds {
+	for _, k := range slices.Concat(faultKinds, addedKinds, restoreKinds) {
 		if injectors[k] == nil {
 			t.Errorf("no injector for fault kind %q", k)
 		}
