forward: keep a token of the retry budget for critical requests

Cause: an endpoint with a full queue refused a critical request, and the instance had no token left for a retry, because hedges and retries of cancelled attempts, most of them of less urgent requests, had used them.

Change: in fleets run by the daemon each instance keeps one more token of the slack for retries of critical requests (BudgetConfig.Reserve). Without a reserve, as in serve, nothing changes.

TestReserveIsLeftToCriticalRetries is new.

--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -25,7 +25,10 @@
 	// instances together: a tenth of the requests of a service, and a few
 	// retries per second for services with few requests.
 	retryRatio, retrySlack = 0.1, 40
-	retryWindow            = 10 * time.Second
+	// retryReserve is the number of retries of each instance that are kept for
+	// critical requests.
+	retryReserve = 1
+	retryWindow  = 10 * time.Second
 	// noShiftLimit disables the shift limit of the steering table. The router
 	// limits the share of requests in other regions, because it knows the
 	// operators' caps.
@@ -42,7 +45,7 @@
 	// any idle connection may be broken without notice.
 	cfg.RecentUse = 0
 	d.client = exchange.New(cfg, wire.EndpointHeaders{})
-	d.budget = forward.NewBudget(forward.BudgetConfig{Ratio: retryRatio, Slack: retrySlack, Window: retryWindow})
+	d.budget = forward.NewBudget(forward.BudgetConfig{Ratio: retryRatio, Slack: retrySlack, Window: retryWindow, Reserve: retryReserve})
 }
 
 // endpointChanged closes the connections to an endpoint that has changed in the
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -85,24 +85,6 @@
 	return a
 }
 
-// budgetRetryAfter is the Retry-After of a caller's retry that exceeds the
-// budget.
-const budgetRetryAfter = time.Second
-
-// chargeBudget counts the request in the retry budget and refuses a caller's
-// retry that exceeds it.
-func (ex *execution) chargeBudget() *Answer {
-	now := time.Now()
-	if ex.req.CallerRetries == 0 {
-		ex.cfg.Budget.Deposit(ex.service, now)
-		return nil
-	}
-	if !ex.cfg.Budget.AllowCallerRetry(ex.service, now) {
-		return refused("retry-budget", budgetRetryAfter)
-	}
-	return nil
-}
-
 // run starts attempts and waits for their results until the request has an
 // answer.
 func (ex *execution) run(ctx context.Context) Answer {
@@ -402,30 +384,6 @@
 	}
 }
 
-// noRetryReason returns the reason why the attempt is not retried, or "" if it
-// is to be retried and the retry budget has supplied the token for that. A
-// request that no endpoint has seen yet needs no token.
-func (ex *execution) noRetryReason(a attempt) string {
-	switch {
-	case ex.mayHaveRun && !ex.req.Route.Repeatable:
-		return "may-have-run"
-	case ex.sent >= ex.req.Route.MaxAttempts:
-		return "attempts-used"
-	case ex.unsent >= maxUnsent:
-		return "endpoints-unreachable"
-	case time.Until(ex.req.Deadline) <= 0:
-		return "deadline"
-	}
-	if a.result.Outcome == exchange.NotSent && ex.sent == 0 {
-		return "" // No endpoint has seen the request yet.
-	}
-	if !ex.tokenTaken && !ex.cfg.Budget.Withdraw(ex.service, time.Now()) {
-		return "retry-budget"
-	}
-	ex.tokenTaken = false
-	return ""
-}
-
 // finalAnswer returns the answer after the last attempt.
 func (ex *execution) finalAnswer(a attempt, refusal *Answer, reason string) *Answer {
 	switch {
@@ -482,7 +440,7 @@
 	if len(ex.cancels) != 1 || ex.sent+1 >= ex.req.Route.MaxAttempts || time.Until(ex.req.Deadline) <= 0 {
 		return true
 	}
-	if !ex.cfg.Budget.Withdraw(ex.service, time.Now()) {
+	if !ex.cfg.Budget.WithdrawSpare(ex.service, time.Now()) {
 		return true
 	}
 	ex.tokenTaken = true
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -14,6 +14,10 @@
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
+	// Reserve is the number of slack tokens of each instance that only retries
+	// of critical requests use, in addition to the shared budget in fleets in
+	// which the slack of an instance is smaller.
+	Reserve float64
 }
 
 const (
@@ -22,13 +26,13 @@
 	// of the number of instances.
 	usedRatioShare = 0.85
 	usedSlackShare = 0.35
-	// minBurst is the minimum number of tokens that an instance may
-	// accumulate, so that it can retry at all in a large fleet.
+	// minBurst is the minimum number of tokens besides the reserve that an
+	// instance may accumulate, so that it can retry at all in a large fleet.
 	minBurst = 1.2
 	// maxSavedShare bounds the tokens saved from earlier requests, over all
 	// instances, as a share of Slack. Within a window the instances then
 	// spend at most 2*usedSlackShare + maxSavedShare of Slack, in addition to
-	// the ratio.
+	// the ratio and the reserve.
 	maxSavedShare = 0.25
 )
 
@@ -68,7 +72,7 @@
 
 // burst returns the maximum number of slack tokens.
 func (b *Budget) burst() float64 {
-	return max(b.cfg.Slack*usedSlackShare/float64(b.instances), minBurst)
+	return max(b.cfg.Slack*usedSlackShare/float64(b.instances), minBurst+b.cfg.Reserve)
 }
 
 // maxSaved returns the maximum number of tokens saved from requests.
@@ -114,6 +118,22 @@
 	return true
 }
 
+// WithdrawSpare is like Withdraw but leaves the reserve.
+func (b *Budget) WithdrawSpare(s model.Service, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.tokens(s, now)
+	switch {
+	case t.saved >= 1:
+		t.saved--
+	case t.slack >= 1+b.cfg.Reserve:
+		t.slack--
+	default:
+		return false
+	}
+	return true
+}
+
 // AllowCallerRetry counts a retry made by a caller and reports whether to
 // serve it. It takes a token like a retry of this instance, so that the
 // retries of callers and instances do not multiply. A retry beyond the budget
--- a/internal/forward/internal_test.go
+++ b/internal/forward/internal_test.go
@@ -55,6 +55,21 @@
 	}
 }
 
+// Guards against a critical request that an endpoint refuses and that is not
+// retried, because hedges and less urgent requests have used the budget.
+func TestReserveIsLeftToCriticalRetries(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	b := NewBudget(BudgetConfig{Ratio: 0.1, Slack: 40, Window: 10 * time.Second, Reserve: 1})
+	b.SetInstances(20)
+	spare := 0
+	for b.WithdrawSpare("s", now) {
+		spare++
+	}
+	if spare != 1 || !b.Withdraw("s", now) || b.Withdraw("s", now) {
+		t.Errorf("%d spare tokens, want 1 and one more in reserve", spare)
+	}
+}
+
 // Guards against deviations from the weights by more than one request per
 // instance.
 func TestSplitKeepsWeights(t *testing.T) {
--- a/internal/policytest/product.go
+++ b/internal/policytest/product.go
@@ -16,10 +16,11 @@
 )
 
 const (
-	// maxAttempts, retryRatio, retrySlack and retryWindow have the values that
-	// the daemon uses.
+	// maxAttempts, retryRatio, retrySlack, retryReserve and retryWindow have the
+	// values that the daemon uses.
 	maxAttempts            = 4
 	retryRatio, retrySlack = 0.1, 40
+	retryReserve           = 1
 	retryWindow            = 10 * time.Second
 	// initialTargetLatency is the service time that the daemon assumes before
 	// it has measured any.
@@ -42,7 +43,7 @@
 	state := desired.New(1, nil, []desired.Service{{Name: service, HealthPath: probePath, MaxConnections: 700}}, desired.Limits{})
 	p.table.SetServices(state.Services)
 	r.usable = func(g model.Region) bool { return p.table.Usable(service, g, time.Now()) > 0 }
-	budget := forward.NewBudget(forward.BudgetConfig{Ratio: retryRatio, Slack: retrySlack, Window: retryWindow})
+	budget := forward.NewBudget(forward.BudgetConfig{Ratio: retryRatio, Slack: retrySlack, Window: retryWindow, Reserve: retryReserve})
 	budget.SetInstances(instanceCount)
 	p.engine = forward.NewEngine(forward.EngineConfig{
 		Log: events.Nop(), Table: p.table, Transport: t, Budget: budget, Rand: rnd(2),
