serve: print warnings and errors when a cluster test times out

Callers: nothing changes for them.

Cause: twice in 14 runs of the package beside other load a test failed, the second time with 'not true within 5 s: instance is ready' at the start of TestRestoredStoreEvacuations, before the store was restored; the first failure was not recorded. Nothing showed why. 120 starts of a cluster in one process did not reproduce it, nor did three processes at once for 100 s, nor five more runs of the package.

Change: cluster.eventually logs the warnings and errors of the instances before it fails the test.

--- a/internal/serve/cluster_test.go
+++ b/internal/serve/cluster_test.go
@@ -147,7 +147,8 @@
 	return resp.StatusCode
 }
 
-// eventually waits until ok returns true and fails the test after 5 s.
+// eventually waits until ok returns true. After 5 s it logs the warnings and errors
+// of the instances and fails the test.
 func (c *cluster) eventually(what string, ok func() bool) {
 	c.t.Helper()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -155,6 +156,11 @@
 			return
 		}
 	}
+	for line := range strings.Lines(c.logs.String()) {
+		if strings.Contains(line, `"level":"warn"`) || strings.Contains(line, `"level":"error"`) {
+			c.t.Log(line)
+		}
+	}
 	c.t.Fatalf("not true within 5 s: %s", what)
 }
 
