--- a/internal/standin/kv.go
+++ b/internal/standin/kv.go
@@ -241,7 +241,7 @@
 		if err != nil {
 			return store.KeyValue{}, err
 		}
-		if kv.Revision > after {
+		if kv.Revision != after {
 			return kv, nil
 		}
 		select {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -77,7 +77,7 @@
 	KeepAlive(ctx context.Context, lease LeaseID) error
 	// Revoke ends a lease, which removes its keys.
 	Revoke(ctx context.Context, lease LeaseID) error
-	// Watch waits until the key's revision is greater than after and returns the
+	// Watch waits until the key's revision differs from after and returns the
 	// key's state. It returns the context's error if the context ends first. A
 	// waiting watch counts as one call of the store.
 	Watch(ctx context.Context, key string, after Revision) (KeyValue, error)
