serve: send a desired state that the changes do not contain

An instance could keep an older desired state for as long as the store kept changing, although it asked instances that had the newer one.

A reply to Changes left out the desired state in force if the sender's copy of the store held it and the reply advanced the caller. The caller may have passed the revision of that record already without having put it in force, so that the changes sent did not contain it.

The sender now leaves it out only if the changes sent contain a write of the record, or are a full copy, and the copy holds the version in force. ChangesArgs already carries the caller's version.

--- a/internal/serve/changes.go
+++ b/internal/serve/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -11,6 +12,7 @@
 	"jujubestile.example/jujubestile/internal/fleet"
 	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/platform"
 )
 
 // stateService is the RPC service name under which State is registered.
@@ -65,7 +67,7 @@
 	reply.Events = withoutObjects(reply.Events)
 	s.in.applyMu.Lock()
 	reply.Grace = time.Until(s.in.missingGraceUntil)
-	reply.Desired = s.in.desired.newerThan(args.Desired, after.Before(at))
+	reply.Desired = s.in.desired.newerThan(args.Desired, reply.includesDesired())
 	s.in.applyMu.Unlock()
 	if after == (mirror.Position{}) {
 		reply.Members = s.in.members.Alive()
@@ -73,6 +75,14 @@
 	return nil
 }
 
+// includesDesired reports whether the changes contain the desired state that the
+// store holds.
+func (c *Changes) includesDesired() bool {
+	return c.Whole || slices.ContainsFunc(c.Events, func(e mirror.Event) bool {
+		return !e.Deleted && platform.RecordOf(e.Key).Desired
+	})
+}
+
 const (
 	// catchUpInterval is the time between two rounds of comparing positions with
 	// other instances, if no message shows a later one sooner.
--- a/internal/serve/desired.go
+++ b/internal/serve/desired.go
@@ -20,9 +20,10 @@
 
 // newerThan returns the desired state in force if its version is above that of
 // another instance. It returns nil if that instance gets it with the changes of
-// the store, as withChanges says.
-func (d *desiredRecord) newerThan(version desired.Version, withChanges bool) []byte {
-	if d.version <= version || withChanges && d.copied == d.version {
+// the store, which is the case if they include the store's desired state and that
+// is the one in force.
+func (d *desiredRecord) newerThan(version desired.Version, included bool) []byte {
+	if d.version <= version || included && d.copied == d.version {
 		return nil
 	}
 	return d.encoded
