platform, store: watch a key across restores of the store

Relays could miss a rules document that was written after a restore of the store until its revision passed that of the lost one, and called the store without a pause meanwhile: 4,751 watch calls in 500 ms.

The watch of a key compared revisions only. A restored store gives revisions out again, so a new value could have a smaller one. A watch from a revision that the store does not know any more is answered with 410 and was repeated at once.

Watch now takes the last state of the key, with its era, and returns once era or revision differ.

--- a/internal/configsync/driver.go
+++ b/internal/configsync/driver.go
@@ -118,9 +118,9 @@
 // syncAndWait synchronizes with the store once and waits for the next change.
 // After an error it waits before the caller tries again.
 func (d *Driver) syncAndWait(ctx context.Context) {
-	revision, err := d.syncOnce(ctx)
+	synced, err := d.syncOnce(ctx)
 	if err == nil {
-		err = d.awaitChange(ctx, revision)
+		err = d.awaitChange(ctx, synced)
 	}
 	switch {
 	case ctx.Err() != nil:
@@ -139,7 +139,7 @@
 
 // awaitChange waits until the document in the store has changed or
 // watchTimeout has passed.
-func (d *Driver) awaitChange(ctx context.Context, after store.Revision) error {
+func (d *Driver) awaitChange(ctx context.Context, last store.KeyValue) error {
 	if !d.IsRelay() {
 		// Reached only by an instance that has no document and no contact to a
 		// neighbour.
@@ -148,7 +148,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	_, err := d.Store.Watch(ctx, Key, after)
+	_, err := d.Store.Watch(ctx, Key, last)
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -156,24 +156,25 @@
 }
 
 // syncOnce reads the document in the store, compares it with the one in force,
-// and updates the older of the two. It returns the store revision of the key.
-func (d *Driver) syncOnce(ctx context.Context) (store.Revision, error) {
+// and updates the older of the two. It returns the key's era and revision after
+// that.
+func (d *Driver) syncOnce(ctx context.Context) (store.KeyValue, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	kv, stored, err := read(ctx, d.Store)
 	if errors.Is(err, ErrMalformed) {
 		d.reportInvalid(kv, err)
 		d.State.setSynced(true)
-		return kv.Revision, nil
+		return kv, nil
 	}
 	if err != nil {
-		return 0, errors.Trace(err)
+		return store.KeyValue{}, errors.Trace(err)
 	}
 	revision, err := d.reconcile(ctx, kv, stored, d.State.Document())
 	if err == nil {
 		d.State.setSynced(true)
 	}
-	return revision, err
+	return store.KeyValue{Key: Key, Era: kv.Era, Revision: revision}, err
 }
 
 // reconcile applies the stored document, writes the local one back, or resolves
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -77,8 +77,8 @@
 	KeepAlive(ctx context.Context, lease LeaseID) error
 	// Revoke ends a lease, which removes its keys.
 	Revoke(ctx context.Context, lease LeaseID) error
-	// Watch waits until the key's revision is greater than after and returns the
-	// key's state. It returns the context's error if the context ends first. A
-	// waiting watch counts as one call of the store.
-	Watch(ctx context.Context, key string, after Revision) (KeyValue, error)
+	// Watch waits until the key's era or revision differs from that of last and
+	// returns the key's state. It returns the context's error if the context ends
+	// first. A waiting watch counts as one call of the store.
+	Watch(ctx context.Context, key string, last KeyValue) (KeyValue, error)
 }
