serve: settle a restore without the store's answer

After a restore of the store an instance that the store does not answer never put a deferred evacuation into effect, and never took a held entry, although it followed the store through other instances.

settleRestore waited for storeLost to clear, which only a response to this instance does.

After the grace period the changes now take effect if another live instance watches the store, because their writers then had the time to write again. If none does, they wait at most 10 s more.

TestDeferredEvacuationWithoutTheStore failed before: the evacuation was deferred a minute after the grace period.

--- a/internal/serve/restore.go
+++ b/internal/serve/restore.go
@@ -1,9 +1,11 @@
 package serve
 
 import (
+	"slices"
 	"time"
 
 	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/fleet"
 	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/model"
 )
@@ -88,7 +90,7 @@
 	in.applyMu.Lock()
 	defer in.applyMu.Unlock()
 	in.entries.expire(now)
-	if in.storeLost.Load() || now.Before(in.missingGraceUntil) {
+	if now.Before(in.missingGraceUntil) || in.awaitsStore(now) {
 		return
 	}
 	for d, c := range in.evacuations.deferred {
@@ -98,3 +100,14 @@
 		in.applyEndpoint(id, h.event, h.era, now)
 	}
 }
+
+// awaitTime is how long after the grace period changes stay deferred while the
+// store answers no instance, so that it cannot be written again.
+const awaitTime = 10 * time.Second
+
+// awaitsStore reports whether the store is unavailable to this instance, no other
+// instance watches it, and awaitTime has not passed. applyMu is held.
+func (in *Instance) awaitsStore(now time.Time) bool {
+	return in.storeLost.Load() && now.Before(in.missingGraceUntil.Add(awaitTime)) &&
+		!slices.ContainsFunc(in.members.Alive(), func(p fleet.Presence) bool { return p.Watching })
+}
--- a/internal/serve/settle_test.go
+++ b/internal/serve/settle_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/fleet"
 	"jujubestile.example/jujubestile/internal/mirror"
 )
 
@@ -28,3 +29,19 @@
 		t.Error("the evacuation is deferred a minute after the grace period")
 	}
 }
+
+// Guards against deferring changes after the grace period although another
+// instance watches the store, and against applying them at once if none does.
+func TestDeferredChangesAwaitTheStore(t *testing.T) {
+	in := New(Settings{Instance: "i0"}, events.New(io.Discard, zerolog.Disabled, "i0"))
+	in.storeLost.Store(true)
+	in.startMissingGrace(missingGrace)
+	now := time.Now().Add(missingGrace + time.Second)
+	if !in.awaitsStore(now) {
+		t.Error("changes are applied although no instance watches the store")
+	}
+	in.members.ReceiveFull(fleet.Presence{ID: "i1", Incarnation: 1, Watching: true}, time.Now())
+	if in.awaitsStore(now) {
+		t.Error("changes are deferred although another instance watches the store")
+	}
+}
