mirror: follow a store that stays in an earlier era

After a store stopped reporting its era, or reported a lower one for good, no change was applied any more. Instances listed it again and again. An instance also announced itself anew after one write whose response had no era.

Listings of an earlier era than the copy's were refused, because one may be delayed, without a limit.

Once three or more consecutive listings report the same earlier era over at least 1 s, it is followed. Its positions are translated to the era of the copy, or to the next one if the store's revision is below the one that the copy had before the listing: then changes were lost, as in a restore. So positions do not go back, and instances that compare them agree. A single late response does not replace the copy. A write without an era does not count as a lost lease.

TestStoreInAnEarlierEraIsFollowed failed before: b was missing after 2 s.

--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -41,6 +41,7 @@
 
 	listed           bool
 	unavailableSince time.Time
+	eras             eras
 }
 
 // inactivePollInterval is the time between two calls of Active while it is false.
@@ -90,10 +91,11 @@
 	if f.unavailableSince.IsZero() {
 		f.Copy.setWatching(true)
 	}
-	v := &verifier{follower: f, cancel: cancel}
+	v := &verifier{follower: f, eras: f.eras, cancel: cancel}
 	go v.run(watch)
 	after, _ := f.Copy.Position(time.Now())
 	events, at, err := f.Source.Watch(watch, after, f.watchTimeout())
+	at = f.eras.translate(at)
 	cancel(nil)
 	switch {
 	case errors.Is(err, ErrCompacted):
@@ -122,12 +124,14 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
+	started, _ := f.Copy.Position(time.Now())
 	items, at, err := f.Source.List(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	before, _ := f.Copy.Position(time.Now())
-	if at.Era < before.Era {
+	at, ok := f.eras.listed(at, started, before, time.Now())
+	if !ok {
 		return errors.Annotatef(errEarlierEra, "era %d, copy in era %d", at.Era, before.Era)
 	}
 	f.sourceResponded()
@@ -139,8 +143,8 @@
 	return nil
 }
 
-// errEarlierEra means that a listing is of an earlier era than the copy, because
-// it was delayed.
+// errEarlierEra means that a listing is of an earlier era than the copy, and may
+// have been delayed.
 const errEarlierEra = errors.ConstError("listing of an earlier era")
 
 // unavailableWatchTimeout bounds a Watch call after a failure. It is short
@@ -172,6 +176,7 @@
 // watch waits.
 type verifier struct {
 	follower *Follower
+	eras     eras
 	cancel   context.CancelCauseFunc
 	// missedChanges is set if the watch has not delivered changes in time, or if
 	// the source has been restored.
@@ -199,6 +204,7 @@
 			v.cancel(err)
 			return
 		}
+		now = v.eras.translate(now)
 		v.follower.Copy.recordResponse()
 		if !v.reached(now) && !v.restored(now) {
 			sleep(ctx, deliveryTime)
--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -117,3 +117,27 @@
 		t.Error("b, which was written in an earlier era, is missing after 2 s")
 	}
 }
+
+// Guards against a copy that is replaced by late listings of an earlier era, and
+// against positions that go back if the store has lost the count of its eras.
+func TestListingsOfAnEarlierEra(t *testing.T) {
+	var e eras
+	now, copied := time.Now(), Position{3, 50}
+	list := func(era model.Era, after time.Duration) (Position, bool) {
+		return e.listed(Position{era, 40}, copied, copied, now.Add(after))
+	}
+	for _, x := range []struct {
+		era   model.Era
+		after time.Duration
+	}{{1, 0}, {1, 5 * time.Second}, {2, 6 * time.Second}, {2, 6100 * time.Millisecond}, {2, 6200 * time.Millisecond}} {
+		if _, ok := list(x.era, x.after); ok {
+			t.Fatalf("a listing of era %d was accepted after %s", x.era, x.after)
+		}
+	}
+	if at, ok := list(2, 8*time.Second); !ok || at != (Position{4, 40}) {
+		t.Errorf("position %+v, accepted %v", at, ok)
+	}
+	if at := e.translate(Position{2, 41}); at != (Position{4, 41}) {
+		t.Errorf("next position %+v", at)
+	}
+}
--- a/internal/serve/announce.go
+++ b/internal/serve/announce.go
@@ -80,7 +80,7 @@
 		return platform.Lease{}, errors.Trace(err)
 	}
 	era, err := in.store.Put(ctx, platform.InstanceKey(in.settings.Instance), value, lease.ID)
-	if err == nil && era != lease.Era {
+	if err == nil && era != 0 && era != lease.Era {
 		err = errLeaseLost
 	}
 	if err != nil {
