mirror: keep the position at an empty watch response

An instance could miss a change until the key changed again, if the store answered its watch without the change but with a later position.

The follower took the position of an empty response, so that the comparison of the store's position with that of the copy showed no difference.

The position of the copy now changes only with changes or a listing. A watch covers all keys and each revision changes a key, so the position of a correct empty response is that of the copy; if it is later, the comparison leads to a listing.

TestEmptyWatchResponseKeepsThePosition failed before: the copy was at revision 2 without the change of revision 2.

--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -113,6 +113,11 @@
 		return errors.Trace(err)
 	}
 	f.sourceResponded()
+	if len(events) == 0 {
+		// The verifier can notice changes that are missing in the response only if
+		// the copy stays before them.
+		at.Revision = after.Revision
+	}
 	if !f.Copy.Apply("", events, at) {
 		f.listed = false
 		return nil
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -175,6 +175,36 @@
 	}
 }
 
+// emptySource returns empty watch responses with the store's current position.
+type emptySource struct{ *source }
+
+func (s emptySource) Watch(ctx context.Context, after Position, wait time.Duration) ([]Event, Position, error) {
+	if _, _, err := s.source.Watch(ctx, after, wait); err != nil {
+		return nil, Position{}, err
+	}
+	at, err := s.source.Position(ctx)
+	return nil, at, err
+}
+
+// Guards against a copy that misses a change for good because a watch response
+// without it has a later position.
+func TestEmptyWatchResponseKeepsThePosition(t *testing.T) {
+	s := emptySource{newSource()}
+	c := New(func(Batch) {})
+	f := Follower{Copy: c, Source: s, Active: func() bool { return true }, WatchTimeout: time.Second, VerifyInterval: time.Second}
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	before, _ := c.Position(time.Now())
+	s.put("a", "1")
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if at, _ := c.Position(time.Now()); at != before {
+		t.Errorf("copy at %+v without the change after %+v", at, before)
+	}
+}
+
 // Guards against missing changes, removals included, that the store has compacted
 // before a watch delivered them.
 func TestLostHistory(t *testing.T) {
