mirror: end an outage with the changes of other processes

The begin of the outage stayed while the instance was inactive and got the changes from others.

While a process is inactive, a change of the copy's position now moves the begin of the outage, because the source then responded to another process. Without such a change it stays, so that an outage of the store for all instances is not taken for a short one.

TestOutageEndsWithChangesOfOthers fails without the change.

--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -41,7 +41,9 @@
 
 	listed           bool
 	unavailableSince time.Time
-	eras             eras
+	// unavailableAt is the position of the copy at unavailableSince.
+	unavailableAt Position
+	eras          eras
 }
 
 // inactivePollInterval is the time between two calls of Active while it is false.
@@ -53,6 +55,7 @@
 	for ctx.Err() == nil {
 		if f.Copy.Loaded() && !f.Active() {
 			f.Copy.setWatching(false)
+			f.noteFollowedByOthers()
 			sleep(ctx, inactivePollInterval)
 			continue
 		}
@@ -67,6 +70,7 @@
 		f.Copy.setWatching(false)
 		if f.unavailableSince.IsZero() {
 			f.unavailableSince = f.Copy.lastResponse(time.Now())
+			f.unavailableAt, _ = f.Copy.Position(time.Now())
 			f.OnUnavailable(err)
 		}
 		sleep(ctx, pause)
@@ -74,6 +78,15 @@
 	}
 }
 
+// noteFollowedByOthers lets an outage begin no earlier than the last change that
+// the copy got from another process, to which the source responds.
+func (f *Follower) noteFollowedByOthers() {
+	at, _ := f.Copy.Position(time.Now())
+	if !f.unavailableSince.IsZero() && f.unavailableAt.Before(at) {
+		f.unavailableSince, f.unavailableAt = time.Now(), at
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -244,6 +245,35 @@
 	}
 }
 
+// Guards against an outage that lasts until an inactive process is active again,
+// although it had the changes of the source from another process.
+func TestOutageEndsWithChangesOfOthers(t *testing.T) {
+	c := New(func(Batch) {})
+	s := newSource()
+	s.err = errors.New("down")
+	var active atomic.Bool
+	active.Store(true)
+	var outage atomic.Int64
+	lost := make(chan struct{}, 1)
+	f := Follower{Copy: c, Source: s, Active: active.Load, WatchTimeout: 20 * time.Millisecond, VerifyInterval: time.Second, RetryMin: 5 * time.Millisecond, RetryMax: 5 * time.Millisecond,
+		OnUnavailable: func(error) { lost <- struct{}{} }, OnAvailable: func(d time.Duration) { outage.Store(int64(d)) }}
+	c.Replace("i1", nil, Position{Revision: 1})
+	go f.Run(t.Context())
+	<-lost
+	active.Store(false)
+	time.Sleep(1500 * time.Millisecond)
+	c.Apply("i1", []Event{{Item: Item{"a", nil, 2}}}, Position{Revision: 2})
+	time.Sleep(2 * inactivePollInterval)
+	s.set(func() { s.at, s.err = 2, nil })
+	active.Store(true)
+	for end := time.Now().Add(2 * time.Second); outage.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if d := time.Duration(outage.Load()); d == 0 || d > 1200*time.Millisecond {
+		t.Errorf("outage of %s", d)
+	}
+}
+
 // Guards against calls of the store by an instance that is not to watch it,
 // except for the first listing.
 func TestInactiveMakesNoCalls(t *testing.T) {
