--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -41,6 +41,9 @@
 
 	listed           bool
 	unavailableSince time.Time
+	// unavailableAt is the position of the copy at unavailableSince.
+	unavailableAt Position
+	eras          eras
 }
 
 // inactivePollInterval is the time between two calls of Active while it is false.
@@ -52,6 +55,7 @@
 	for ctx.Err() == nil {
 		if f.Copy.Loaded() && !f.Active() {
 			f.Copy.setWatching(false)
+			f.noteFollowedByOthers()
 			sleep(ctx, inactivePollInterval)
 			continue
 		}
@@ -66,6 +70,7 @@
 		f.Copy.setWatching(false)
 		if f.unavailableSince.IsZero() {
 			f.unavailableSince = f.Copy.lastResponse(time.Now())
+			f.unavailableAt, _ = f.Copy.Position(time.Now())
 			f.OnUnavailable(err)
 		}
 		sleep(ctx, pause)
@@ -73,6 +78,15 @@
 	}
 }
 
+// noteFollowedByOthers lets an outage begin no earlier than the last change that
+// the copy got from another process, to which the source responds.
+func (f *Follower) noteFollowedByOthers() {
+	at, _ := f.Copy.Position(time.Now())
+	if !f.unavailableSince.IsZero() && f.unavailableAt.Before(at) {
+		f.unavailableSince, f.unavailableAt = time.Now(), at
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -90,10 +104,11 @@
 	if f.unavailableSince.IsZero() {
 		f.Copy.setWatching(true)
 	}
-	v := &verifier{follower: f, cancel: cancel}
+	v := &verifier{follower: f, eras: f.eras, cancel: cancel}
 	go v.run(watch)
 	after, _ := f.Copy.Position(time.Now())
 	events, at, err := f.Source.Watch(watch, after, f.watchTimeout())
+	at = f.eras.translate(at)
 	cancel(nil)
 	switch {
 	case errors.Is(err, ErrCompacted):
@@ -111,6 +126,11 @@
 		return errors.Trace(err)
 	}
 	f.sourceResponded()
+	if len(events) == 0 {
+		// The verifier can notice changes that are missing in the response only if
+		// the copy stays before them.
+		at.Revision = after.Revision
+	}
 	if !f.Copy.Apply("", events, at) {
 		f.listed = false
 		return nil
@@ -122,12 +142,14 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
+	started, _ := f.Copy.Position(time.Now())
 	items, at, err := f.Source.List(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	before, _ := f.Copy.Position(time.Now())
-	if at.Era < before.Era {
+	at, ok := f.eras.listed(at, started, before, time.Now())
+	if !ok {
 		return errors.Annotatef(errEarlierEra, "era %d, copy in era %d", at.Era, before.Era)
 	}
 	f.sourceResponded()
@@ -139,8 +161,8 @@
 	return nil
 }
 
-// errEarlierEra means that a listing is of an earlier era than the copy, because
-// it was delayed.
+// errEarlierEra means that a listing is of an earlier era than the copy, and may
+// have been delayed.
 const errEarlierEra = errors.ConstError("listing of an earlier era")
 
 // unavailableWatchTimeout bounds a Watch call after a failure. It is short
@@ -172,6 +194,7 @@
 // watch waits.
 type verifier struct {
 	follower *Follower
+	eras     eras
 	cancel   context.CancelCauseFunc
 	// missedChanges is set if the watch has not delivered changes in time, or if
 	// the source has been restored.
@@ -199,6 +222,7 @@
 			v.cancel(err)
 			return
 		}
+		now = v.eras.translate(now)
 		v.follower.Copy.recordResponse()
 		if !v.reached(now) && !v.restored(now) {
 			sleep(ctx, deliveryTime)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -175,6 +176,36 @@
 	}
 }
 
+// emptySource returns empty watch responses with the store's current position.
+type emptySource struct{ *source }
+
+func (s emptySource) Watch(ctx context.Context, after Position, wait time.Duration) ([]Event, Position, error) {
+	if _, _, err := s.source.Watch(ctx, after, wait); err != nil {
+		return nil, Position{}, err
+	}
+	at, err := s.source.Position(ctx)
+	return nil, at, err
+}
+
+// Guards against a copy that misses a change for good because a watch response
+// without it has a later position.
+func TestEmptyWatchResponseKeepsThePosition(t *testing.T) {
+	s := emptySource{newSource()}
+	c := New(func(Batch) {})
+	f := Follower{Copy: c, Source: s, Active: func() bool { return true }, WatchTimeout: time.Second, VerifyInterval: time.Second}
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	before, _ := c.Position(time.Now())
+	s.put("a", "1")
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if at, _ := c.Position(time.Now()); at != before {
+		t.Errorf("copy at %+v without the change after %+v", at, before)
+	}
+}
+
 // Guards against missing changes, removals included, that the store has compacted
 // before a watch delivered them.
 func TestLostHistory(t *testing.T) {
@@ -214,6 +245,35 @@
 	}
 }
 
+// Guards against an outage that lasts until an inactive process is active again,
+// although it had the changes of the source from another process.
+func TestOutageEndsWithChangesOfOthers(t *testing.T) {
+	c := New(func(Batch) {})
+	s := newSource()
+	s.err = errors.New("down")
+	var active atomic.Bool
+	active.Store(true)
+	var outage atomic.Int64
+	lost := make(chan struct{}, 1)
+	f := Follower{Copy: c, Source: s, Active: active.Load, WatchTimeout: 20 * time.Millisecond, VerifyInterval: time.Second, RetryMin: 5 * time.Millisecond, RetryMax: 5 * time.Millisecond,
+		OnUnavailable: func(error) { lost <- struct{}{} }, OnAvailable: func(d time.Duration) { outage.Store(int64(d)) }}
+	c.Replace("i1", nil, Position{Revision: 1})
+	go f.Run(t.Context())
+	<-lost
+	active.Store(false)
+	time.Sleep(1500 * time.Millisecond)
+	c.Apply("i1", []Event{{Item: Item{"a", nil, 2}}}, Position{Revision: 2})
+	time.Sleep(2 * inactivePollInterval)
+	s.set(func() { s.at, s.err = 2, nil })
+	active.Store(true)
+	for end := time.Now().Add(2 * time.Second); outage.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if d := time.Duration(outage.Load()); d == 0 || d > 1200*time.Millisecond {
+		t.Errorf("outage of %s", d)
+	}
+}
+
 // Guards against calls of the store by an instance that is not to watch it,
 // except for the first listing.
 func TestInactiveMakesNoCalls(t *testing.T) {
