--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -20,7 +20,7 @@
 		"A listener or a file in the settings could not be opened.",
 		"Read the error field. If an address is in use, the previous process is usually still running."}
 	NotReady = Event{106, "instance not ready", zerolog.WarnLevel,
-		"The instance has no rules revision from the store or a peer, or is not confirmed yet. It accepts no requests.",
+		"The instance has no rules revision from the store or a peer, is not confirmed yet, or has no slots: its region has not claimed them, or they belong to its previous process and no instance of the region lends any. It accepts no requests.",
 		"Check that the store, the platform's instance list and listen.peer of other instances can be reached."}
 	Undrained = Event{107, "instance drain ended", zerolog.InfoLevel,
 		"An operator or the rules have ended the drain of the instance.",
