fleet: split messages that receivers cannot read

With requests on about 1,365 endpoints or more, the reports on a group that list all loads were lost, and so were full and brief messages of an instance with as many: receivers could not decode them.

Receivers read 8 KiB of a message, but its size had no bound.

A message with more than 768 pairs is now sent in parts. Each part lists the loads of a range of wire IDs and says which, so receivers replace the loads in that range, and a part that is lost or late affects no others. Live instances and placements are distributed over the parts. The bounds precede the message, whose encoding is unchanged, so that instances of other versions still read what fits into one; they drop parts as they dropped what was too long.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -40,9 +40,9 @@
 			t.Fatal(err)
 		}
 		t.Logf("%d instances, %d busy endpoints, %d objects: brief message %d bytes, report without loads %d, whole report %d",
-			c.instances, c.busy, c.placements, len(brief), len(alive), len(whole))
-		if len(whole) > maxDatagram {
-			t.Errorf("a whole report of %d instances has %d bytes and does not fit into a datagram", c.instances, len(whole))
+			c.instances, c.busy, c.placements, len(brief[0]), len(alive[0]), len(whole[0]))
+		if len(brief) != 1 || len(alive) != 1 || len(whole) != 1 || len(whole[0]) > maxDatagram {
+			t.Errorf("a whole report of %d instances has %d bytes and does not fit into a datagram", c.instances, len(whole[0]))
 		}
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,17 +28,17 @@
 	p.Watching = true
 	update := LoadUpdate{Loads: steering.Loads{1: 2, 3 << 30: 4}, Placements: []steering.Placement{{Endpoint: 1, Object: 9}}}
 	b, err := EncodeFull(p, update, true)
-	if err != nil {
-		t.Fatal(err)
+	if err != nil || len(b) != 1 {
+		t.Fatalf("%d messages, %v", len(b), err)
 	}
-	m, err := Decode(b)
+	m, err := Decode(b[0])
 	if err != nil || !m.Full || !m.Reply || m.Presence != p || !reflect.DeepEqual(m.Update, update) {
 		t.Fatalf("%+v, %v", m, err)
 	}
-	if b, err = EncodeBrief(p, update); err != nil {
-		t.Fatal(err)
+	if b, err = EncodeBrief(p, update); err != nil || len(b) != 1 {
+		t.Fatalf("%d messages, %v", len(b), err)
 	}
-	if m, err = Decode(b); err != nil || m.Full || !reflect.DeepEqual(m.Update, update) {
+	if m, err = Decode(b[0]); err != nil || m.Full || !reflect.DeepEqual(m.Update, update) {
 		t.Fatalf("%+v, %v", m, err)
 	}
 	members := NewMembers("i9", "a", "a1")
@@ -55,7 +56,7 @@
 	full, _ := EncodeFull(presence(1, "a"), LoadUpdate{Loads: steering.Loads{1: 2}}, true)
 	short, _ := EncodeBrief(presence(1, "a"), LoadUpdate{})
 	report, _ := EncodeReport(Report{Region: "a", Alive: []uint32{1, 1}, Loads: []uint32{1, 2}}, false)
-	for _, b := range [][]byte{full, short, report, nil, {'F'}, {'R', 0x90}} {
+	for _, b := range slices.Concat(full, short, report, [][]byte{nil, {'F'}, {'R', 0x90}, {'S', 0}, {'S', 0, 0, 0, 1, 0, 0, 0, 2, 'R'}}) {
 		f.Add(b)
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -165,10 +166,10 @@
 	r := far.Report(Group{Region: "b"}, presence(10, "b"))
 	r.Loads, r.Era, r.Revision = LoadPairs(steering.Loads{7: 3}), 3, 20
 	b, err := EncodeReport(r, false)
-	if err != nil {
-		t.Fatal(err)
+	if err != nil || len(b) != 1 {
+		t.Fatalf("%d messages, %v", len(b), err)
 	}
-	msg, err := Decode(b)
+	msg, err := Decode(b[0])
 	if err != nil || msg.Report == nil || msg.Relayed || msg.Report.Update().Loads[7] != 3 {
 		t.Fatalf("%+v, %v", msg, err)
 	}
--- a/internal/fleet/groups.go
+++ b/internal/fleet/groups.go
@@ -67,6 +67,10 @@
 	// Seen holds the recent placements: pairs of the wire IDs of an endpoint and
 	// of an object for which it was sent a request.
 	Seen []uint32
+	// Low and High bound the wire IDs to which Whole applies. If High is 0, it
+	// applies to all.
+	Low  uint32 `msgpack:"-"`
+	High uint32 `msgpack:"-"`
 }
 
 // Group returns the group that the report is about.
@@ -241,14 +245,25 @@
 	kindRelayed = 'P'
 )
 
-// EncodeReport encodes a report. relayed marks it as relayed within a failure
-// domain, so that its receivers do not relay it again.
-func EncodeReport(r Report, relayed bool) ([]byte, error) {
+// EncodeReport encodes a report as one or more messages. relayed marks it as
+// relayed within a failure domain, so that its receivers do not relay it again.
+func EncodeReport(r Report, relayed bool) ([][]byte, error) {
 	kind := byte(kindReport)
 	if relayed {
 		kind = kindRelayed
 	}
-	return encode(kind, &r)
+	var out [][]byte
+	for _, p := range r.parts() {
+		b, err := encode(kind, &p)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if p.Whole {
+			b = withRange(b, p.Low, p.High)
+		}
+		out = append(out, b)
+	}
+	return out, nil
 }
 
 func decodeReport(b []byte) (*Report, error) {
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"net"
 	"net/netip"
 	"sync"
@@ -97,6 +98,9 @@
 const (
 	kindFull  = 'F'
 	kindBrief = 'B'
+	// kindRange precedes another message, whose loads are those of a range of wire
+	// IDs.
+	kindRange = 'S'
 )
 
 // maxDatagram bounds the size of a message. The loads of 200 endpoints take 1.4
@@ -119,16 +123,45 @@
 }
 
 // EncodeFull encodes a full message. reply requests a full message in return.
-func EncodeFull(p Presence, update LoadUpdate, reply bool) ([]byte, error) {
-	return encode(kindFull, &full{ID: string(p.ID), Incarnation: uint64(p.Incarnation), Region: string(p.Region),
-		Domain: string(p.Domain), Peer: p.Peer.String(), Entry: p.Entry.String(), Reply: reply, Brief: newBrief(p, update)})
+// It returns several if the loads do not fit into one.
+func EncodeFull(p Presence, update LoadUpdate, reply bool) ([][]byte, error) {
+	return encodeBriefs(kindFull, newBrief(p, update), func(b Brief) any {
+		return &full{ID: string(p.ID), Incarnation: uint64(p.Incarnation), Region: string(p.Region),
+			Domain: string(p.Domain), Peer: p.Peer.String(), Entry: p.Entry.String(), Reply: reply, Brief: b}
+	})
 }
 
 // EncodeBrief encodes a brief message, for instances that have received a full
-// one of the same process.
-func EncodeBrief(p Presence, update LoadUpdate) ([]byte, error) {
-	b := newBrief(p, update)
-	return encode(kindBrief, &b)
+// one of the same process. It returns several if the loads do not fit into one.
+func EncodeBrief(p Presence, update LoadUpdate) ([][]byte, error) {
+	return encodeBriefs(kindBrief, newBrief(p, update), func(b Brief) any { return &b })
+}
+
+// encodeBriefs encodes a message for each part of the loads that fits into one.
+func encodeBriefs(kind byte, b Brief, message func(Brief) any) ([][]byte, error) {
+	var out [][]byte
+	for _, r := range (Report{Whole: true, Seen: b.Seen, Loads: b.Loads}).parts() {
+		b.Seen, b.Loads = r.Seen, r.Loads
+		encoded, err := encode(kind, message(b))
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		out = append(out, withRange(encoded, r.Low, r.High))
+	}
+	return out, nil
+}
+
+// rangeLength is the number of bytes that withRange adds.
+const rangeLength = 9
+
+// withRange marks the loads of a message as those of a range of wire IDs, unless
+// high is 0.
+func withRange(b []byte, low, high uint32) []byte {
+	if high == 0 {
+		return b
+	}
+	out := binary.BigEndian.AppendUint32([]byte{kindRange}, low)
+	return append(binary.BigEndian.AppendUint32(out, high), b...)
 }
 
 // encode encodes a message with integers in as few bytes as possible.
@@ -158,10 +191,26 @@
 	// Brief and Update are set for full and brief messages.
 	Brief  Brief
 	Update LoadUpdate
+	// Low and High bound the wire IDs of the loads. If High is 0, they are all of
+	// the sender's or, in a report with all loads, of the group's.
+	Low, High uint32
 }
 
 // Decode decodes a message.
 func Decode(b []byte) (Message, error) {
+	if len(b) < rangeLength || b[0] != kindRange {
+		return decodePlain(b)
+	}
+	m, err := decodePlain(b[rangeLength:])
+	m.Low, m.High = binary.BigEndian.Uint32(b[1:]), binary.BigEndian.Uint32(b[5:])
+	if m.Report != nil {
+		m.Report.Low, m.Report.High = m.Low, m.High
+	}
+	return m, errors.Trace(err)
+}
+
+// decodePlain decodes a message without a range.
+func decodePlain(b []byte) (Message, error) {
 	if len(b) == 0 {
 		return Message{}, errors.New("empty message")
 	}
--- a/internal/serve/heartbeat.go
+++ b/internal/serve/heartbeat.go
@@ -164,9 +164,9 @@
 	if len(r.Alive) == 0 && len(r.Loads) == 0 && len(r.Seen) == 0 {
 		return
 	}
-	b, err := fleet.EncodeReport(r, false)
+	messages, err := fleet.EncodeReport(r, false)
 	for _, other := range in.otherDomains() {
-		in.send(in.members.Representatives(other), b, err)
+		in.send(in.members.Representatives(other), messages, err)
 	}
 }
 
@@ -180,11 +180,11 @@
 	if !in.members.Represents(region) {
 		return
 	}
-	b, err := fleet.EncodeReport(in.buildReport(g, region, true, now), false)
+	messages, err := fleet.EncodeReport(in.buildReport(g, region, true, now), false)
 	for _, d := range in.domainsOfOtherRegions() {
 		// One receiver is enough: the next report makes up for a lost one.
 		if to := in.members.Representatives(d); len(to) > 0 {
-			in.send(to[:1], b, err)
+			in.send(to[:1], messages, err)
 		}
 	}
 }
@@ -297,22 +297,24 @@
 
 // sendFull sends a full message; reply requests a full message in return.
 func (in *Instance) sendFull(to []fleet.Presence, update fleet.LoadUpdate, reply bool) {
-	b, err := fleet.EncodeFull(in.presence(), update, reply)
-	in.send(to, b, err)
+	messages, err := fleet.EncodeFull(in.presence(), update, reply)
+	in.send(to, messages, err)
 }
 
 func (in *Instance) sendBrief(to []fleet.Presence, update fleet.LoadUpdate) {
-	b, err := fleet.EncodeBrief(in.presence(), update)
-	in.send(to, b, err)
+	messages, err := fleet.EncodeBrief(in.presence(), update)
+	in.send(to, messages, err)
 }
 
-// send sends an encoded message, or logs the error of its encoding.
-func (in *Instance) send(to []fleet.Presence, b []byte, err error) {
+// send sends encoded messages, or logs the error of their encoding.
+func (in *Instance) send(to []fleet.Presence, messages [][]byte, err error) {
 	if err != nil {
 		in.log.Log(events.MalformedUpdate).Err(err).Send()
 		return
 	}
 	for _, p := range to {
-		in.socket.Send(p.Peer, b)
+		for _, b := range messages {
+			in.socket.Send(p.Peer, b)
+		}
 	}
 }
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -9,6 +9,7 @@
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/fleet"
 	"jujubestile.example/jujubestile/internal/mirror"
+	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/steering"
 )
 
@@ -19,7 +20,7 @@
 // It replies with a full message if the sender requests that or is a new process.
 func (in *Instance) handleMessage(m fleet.Message) {
 	if m.Report != nil {
-		in.handleReport(m.Report, m.Relayed)
+		in.handleReport(m)
 		return
 	}
 	now := time.Now()
@@ -34,7 +35,7 @@
 		}
 	}
 	if p.Domain == in.settings.Domain {
-		in.table.SetPeerLoads(p.ID, m.Update.Loads)
+		in.setPeerLoads(p.ID, m)
 		in.table.RecordPlacements(m.Update.Placements)
 		in.queuePlacements(m.Update.Placements)
 	}
@@ -50,26 +51,35 @@
 // handleReport updates the members, the loads and the placements from a report on
 // another group. If this instance represents its failure domain, it relays the
 // report within the domain.
-func (in *Instance) handleReport(r *fleet.Report, relayed bool) {
-	now := time.Now()
+func (in *Instance) handleReport(m fleet.Message) {
+	r, now := m.Report, time.Now()
 	in.applyMemberChanges(in.members.ReceiveReport(*r, now))
-	update := r.Update()
+	m.Update = r.Update()
 	id := r.Group().AggregateID()
 	if r.Whole {
-		in.table.SetPeerLoads(id, update.Loads)
+		in.setPeerLoads(id, m)
 	} else {
-		in.table.UpdatePeerLoads(id, update.Loads)
+		in.table.UpdatePeerLoads(id, m.Update.Loads)
 	}
-	in.table.RecordPlacements(update.Placements)
+	in.table.RecordPlacements(m.Update.Placements)
 	in.groupReportedMu.Lock()
 	in.groupReportedAt[id] = now
 	in.groupReportedMu.Unlock()
 	if in.behind(r.Position(), r.Desired) {
 		in.requestCatchUp()
 	}
-	if !relayed && in.members.Represents(in.ownDomain()) {
-		b, err := fleet.EncodeReport(*r, true)
-		in.send(in.members.SameDomain(), b, err)
+	if !m.Relayed && in.members.Represents(in.ownDomain()) {
+		messages, err := fleet.EncodeReport(*r, true)
+		in.send(in.members.SameDomain(), messages, err)
+	}
+}
+
+// setPeerLoads replaces the loads of an instance or group that a message covers.
+func (in *Instance) setPeerLoads(id model.InstanceID, m fleet.Message) {
+	if m.High == 0 {
+		in.table.SetPeerLoads(id, m.Update.Loads)
+	} else {
+		in.table.SetPeerLoadsWithin(id, m.Low, m.High, m.Update.Loads)
 	}
 }
 
--- a/internal/steering/load.go
+++ b/internal/steering/load.go
@@ -67,6 +67,28 @@
 func (t *Table) UpdatePeerLoads(peer model.InstanceID, changed Loads) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.updatePeerLoads(peer, changed)
+}
+
+// SetPeerLoadsWithin replaces the loads of a group for the endpoints with wire IDs
+// from low to high.
+func (t *Table) SetPeerLoadsWithin(peer model.InstanceID, low, high uint32, loads Loads) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for w, n := range t.peers[peer] {
+		if _, listed := loads[w]; listed || w < low || w > high {
+			continue
+		}
+		if e := t.byWireID[w]; e != nil {
+			e.others -= n
+		}
+		delete(t.peers[peer], w)
+	}
+	t.updatePeerLoads(peer, loads)
+}
+
+// updatePeerLoads changes the listed loads of a group. The lock is held.
+func (t *Table) updatePeerLoads(peer model.InstanceID, changed Loads) {
 	known := t.peers[peer]
 	if known == nil {
 		known = Loads{}
--- a/internal/steering/load_test.go
+++ b/internal/steering/load_test.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"maps"
 	"testing"
 
 	_ "jujubestile.example/jujubestile/internal/fixedseed" // Fixes the seed of property tests.
@@ -47,3 +48,14 @@
 		t.Fatalf("%d requests of a group that was removed", n)
 	}
 }
+
+// Guards against a part of a group's loads that changes the loads outside its
+// range, or that leaves those in it that have ended.
+func TestLoadsWithinARange(t *testing.T) {
+	tb := newTable()
+	tb.SetPeerLoads("region/a", Loads{1: 1, 5: 5, 9: 9})
+	tb.SetPeerLoadsWithin("region/a", 2, 8, Loads{6: 6})
+	if got, want := tb.LoadsWith([]model.InstanceID{"region/a"}), (Loads{1: 1, 6: 6, 9: 9}); !maps.Equal(got, want) {
+		t.Errorf("loads %v, want %v", got, want)
+	}
+}
