--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -25,10 +25,14 @@
 	mu       sync.Mutex
 	values   map[string]store.KeyValue
 	revision store.Revision
-	calls    int
-	down     bool
+	// era is reported in all results.
+	era   model.Era
+	calls int
+	down  bool
 	// beforeSwap, if set, runs once before the next swap of the rules document.
 	beforeSwap func()
+	// afterGet, if set, runs once after the next read, before its result is returned.
+	afterGet func()
 	// lostResponses is how many of the next successful swaps of the rules
 	// document return an error.
 	lostResponses int
@@ -45,11 +49,16 @@
 }
 
 func (m *memoryStore) Get(_ context.Context, key string) (store.KeyValue, error) {
+	if after := m.afterGet; after != nil {
+		m.afterGet = nil
+		defer after()
+	}
 	defer m.mu.Unlock()
 	if err := m.begin(); err != nil {
 		return store.KeyValue{}, err
 	}
 	kv, ok := m.values[key]
+	kv.Era = m.era
 	if !ok {
 		return kv, store.ErrNotFound
 	}
@@ -77,7 +86,9 @@
 		m.lostResponses--
 		return store.SwapResult{}, store.ErrUnavailable
 	}
-	return store.SwapResult{Swapped: true, Current: m.values[key]}, nil
+	current := m.values[key]
+	current.Era = m.era
+	return store.SwapResult{Swapped: true, Current: current}, nil
 }
 
 func (m *memoryStore) Watch(ctx context.Context, key string, after store.Revision) (store.KeyValue, error) {
@@ -257,6 +268,20 @@
 	}
 }
 
+// Guards against the loser of two concurrent edits that is told that the store has
+// changed instead of who won: the winner's edit is written and in force at the loser's
+// instance after that has read the store.
+func TestEditSavedAfterReadWins(t *testing.T) {
+	m := newMemoryStore()
+	editors := newEditors(2, m)
+	edit(t, editors[0], "a", 0, baseText)
+	m.afterGet = func() { edit(t, editors[1], "b", 1, baseText+lineOf("b")) }
+	r := edit(t, editors[0], "c", 1, baseText+lineOf("c"))
+	if r.Outcome != Conflict || r.Head.EditID != "b" || len(r.Changes) != 1 || m.stored().EditID != "b" {
+		t.Errorf("got %+v; the store has %s", r, m.stored().EditID)
+	}
+}
+
 // Guards against an edit based on an outdated store. The store was restored from
 // an older backup, and the instance with the editor does not have the newest
 // document. Without the query to the relays the edit would create a fork, which
--- a/internal/events/catalogue_serve.go
+++ b/internal/events/catalogue_serve.go
@@ -33,7 +33,7 @@
 		"The caller closed its connection before it got a response. A request that may be repeated is cancelled.",
 		"None."}
 	StateAdopted = Event{821, "desired state adopted", zerolog.InfoLevel,
-		"A newer desired state is in force on this instance.",
+		"A newer desired state is in force on this instance. The field from is store, or the instance that it was fetched from.",
 		"None."}
 	StateRejected = Event{822, "desired state unreadable", zerolog.ErrorLevel,
 		"A desired state cannot be parsed. The last valid one stays in force.",
@@ -42,7 +42,7 @@
 		"The store or another instance returned a desired state that is older than the one in force.",
 		"None."}
 	EndpointChanged = Event{831, "endpoint changed", zerolog.InfoLevel,
-		"Discovery shows an endpoint as added, restarted, leaving, cold, returned, lapsed or gone, according to the field change.",
+		"Discovery shows an endpoint as added, restarted, leaving, cold, returned, lapsed or gone, according to the field change. The change outdated means that a restored store has an older entry, which is not used.",
 		"None."}
 	EndpointInvalid = Event{832, "endpoint entry unreadable", zerolog.WarnLevel,
 		"A discovery entry cannot be parsed, so no endpoint is taken from it.",
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -123,13 +122,17 @@
 	return strings.EqualFold(h.Get("Connection"), "close")
 }
 
+// maxKeepAliveSeconds bounds the time for which an idle connection is kept,
+// whatever the endpoint announces.
+const maxKeepAliveSeconds = 600
+
 // keepAliveTimeout returns how long the endpoint keeps an idle connection, from
 // its Keep-Alive header field, or 0 if it does not say.
 func keepAliveTimeout(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		if v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
 			if s, err := strconv.Atoi(v); err == nil && s > 0 {
-				return time.Duration(s) * time.Second
+				return time.Duration(min(s, maxKeepAliveSeconds)) * time.Second
 			}
 		}
 	}
@@ -148,8 +151,10 @@
 // readLoop reads responses until the connection ends or the endpoint announces
 // that it closes it.
 func (c *conn) readLoop() {
-	br := bufio.NewReaderSize(c.Conn, 4<<10)
-	for {
+	limiter := &headLimiter{Reader: c.Conn}
+	br := bufio.NewReaderSize(limiter, 4<<10)
+	for skipped := 0; ; {
+		limiter.startHead()
 		if _, err := br.Peek(1); err != nil {
 			c.fail(err)
 			return
@@ -160,14 +165,19 @@
 			c.fail(errUnsolicited)
 			return
 		}
-		res, err := c.read(br, w)
+		res, err := c.read(br, limiter, w)
 		if err != nil {
 			c.fail(err)
 			return
 		}
 		if res == nil {
+			if skipped++; skipped > maxSkippedResponses {
+				c.fail(errTooManyResponses)
+				return
+			}
 			continue
 		}
+		skipped = 0
 		last := closesConnection(res.Header)
 		c.deliver(w, *res)
 		if last {
@@ -185,25 +195,30 @@
 
 // read reads one response. The result is nil for an interim response and for one
 // that belongs to an earlier request.
-func (c *conn) read(br *bufio.Reader, w *pendingExchange) (*Result, error) {
+func (c *conn) read(br *bufio.Reader, limiter *headLimiter, w *pendingExchange) (*Result, error) {
+	if err := checkStatusLine(br); err != nil {
+		return nil, errors.Trace(err)
+	}
 	resp, err := http.ReadResponse(br, w.req)
+	limiter.endHead()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	defer resp.Body.Close()
+	// The body is not closed, because Close reads it to its end. All errors close
+	// the connection instead.
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return nil, errSwitchedProtocols
 	}
-	if resp.StatusCode < minStatus {
+	if resp.StatusCode >= minInterimStatus && resp.StatusCode < minStatus {
 		return nil, nil // An interim response.
 	}
-	if resp.StatusCode > maxStatus {
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return nil, errors.Errorf("invalid response status %d", resp.StatusCode)
 	}
 	if c.pool.client.cfg.RequireFraming && unframed(resp, w.req.Method) {
 		return nil, errUnframed
 	}
-	body, err := readBody(resp)
+	body, err := c.pool.readBody(resp)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -215,7 +230,8 @@
 	if res.Fields.NotRun {
 		res.Outcome = NotRun
 	}
-	if resp.Close {
+	if resp.Close || br.Buffered() > 0 {
+		// Data after the response belongs to no request.
 		res.Header.Set("Connection", "close")
 	}
 	return res, nil
@@ -228,28 +244,6 @@
 	return !bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// readBody reads the whole body of a response.
-func readBody(resp *http.Response) ([]byte, error) {
-	if resp.ContentLength > maxResponseBytes {
-		return nil, errTooLarge
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		if errors.Is(err, io.EOF) && resp.ContentLength > 0 {
-			err = io.ErrUnexpectedEOF
-		} else if resp.ContentLength == 0 {
-			err = nil
-		}
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if len(body) > maxResponseBytes {
-		return nil, errTooLarge
-	}
-	return body, err
-}
-
 // deliver ends the exchange with a result.
 func (c *conn) deliver(w *pendingExchange, res Result) {
 	c.mu.Lock()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -53,7 +53,7 @@
 	started   time.Time
 
 	// applyMu serializes applying the changes of the store's copy. It guards
-	// objectsRestored and missingGraceUntil.
+	// objectsRestored, missingGraceUntil, desired, entries and evacuations.
 	applyMu sync.Mutex
 	// objectsRestored is set once the object record of an earlier process has
 	// been loaded.
@@ -62,6 +62,13 @@
 	// store. Until then an endpoint whose entry is deleted is marked as missing
 	// and not removed.
 	missingGraceUntil time.Time
+	desired           desiredRecord
+	entries           entryHistory
+	evacuations       evacuations
+	// reportedEra is the era of the last restore that was reported.
+	reportedEra atomic.Uint64
+	// storeRestores wakes up announce when the store was restored.
+	storeRestores chan struct{}
 	// announced is set once the store lists the instance.
 	announced atomic.Bool
 	// heartbeatNow makes the heartbeat loop send at its next tick.
@@ -82,7 +89,8 @@
 func New(s Settings, log events.Logger) *Instance {
 	now := time.Now()
 	in := &Instance{settings: s, log: log, incarnation: model.Incarnation(now.UnixNano()), started: now,
-		catchUpNow: make(chan struct{}, 1), groupReportedAt: map[model.InstanceID]time.Time{}}
+		catchUpNow: make(chan struct{}, 1), storeRestores: make(chan struct{}, 1),
+		groupReportedAt: map[model.InstanceID]time.Time{}, entries: newEntryHistory(), evacuations: newEvacuations()}
 	in.store = platform.NewStore(s.Store.Address.String(), storeTransport())
 	in.copy = mirror.New(in.apply)
 	in.table = steering.New(steering.Config{Self: s.Instance, Domain: s.Domain, Region: s.Region,
@@ -179,11 +187,11 @@
 
 // presence returns the state that the instance reports of itself.
 func (in *Instance) presence() fleet.Presence {
-	revision, age := in.copy.Position(time.Now())
+	at, age := in.copy.Position(time.Now())
 	lost := in.storeLost.Load()
 	p := fleet.Presence{ID: in.settings.Instance, Incarnation: in.incarnation, Region: in.settings.Region,
 		Domain: in.settings.Domain, Peer: in.settings.Listen.Peer, Entry: in.settings.Listen.Requests,
-		Ready: in.ready(), Leaving: in.leaving.Load(), Revision: revision,
+		Ready: in.ready(), Leaving: in.leaving.Load(), Position: at, Desired: in.desiredVersion(),
 		StoreLost: lost, Watching: age == 0 && !lost, Settled: time.Since(in.started) > settledAfter}
 	return p
 }
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -6,8 +6,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/juju/errors"
-
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/fleet"
 	"jujubestile.example/jujubestile/internal/mirror"
@@ -59,6 +57,11 @@
 				in.startMissingGrace(missingGrace)
 			}
 		},
+		OnCompacted: func(at mirror.Position) {
+			in.counters.storeCompacted.Add(1)
+			in.log.Log(events.StoreCompacted).EmbedObject(at).Send()
+		},
+		OnRestored: func(copied, source mirror.Position) { in.storeRestored("", copied, source) },
 	}
 	f.Run(ctx)
 }
@@ -74,21 +77,21 @@
 }
 
 // apply puts changes of the store's copy into effect.
-func (in *Instance) apply(changes []mirror.Event) {
+func (in *Instance) apply(b mirror.Batch) {
 	in.applyMu.Lock()
 	defer in.applyMu.Unlock()
 	now := time.Now()
-	for _, c := range changes {
+	for _, c := range b.Events {
 		r := platform.RecordOf(c.Key)
 		switch {
-		case r.Desired && !c.Deleted:
-			in.adopt(c)
+		case r.Desired && c.Deleted:
+			in.desired.copied = 0
+		case r.Desired:
+			in.desired.copied = in.adopt(c.Value, mirror.Position{Era: b.Era, Revision: c.Revision}, b.From)
 		case r.Evacuated != "":
-			in.table.SetEvacuated(r.Evacuated, !c.Deleted)
-			in.log.Log(events.DomainEvacuated).Str("domain", string(r.Evacuated)).Bool("evacuated", !c.Deleted).
-				Int64("revision", int64(c.Revision)).Send()
+			in.applyEvacuation(r.Evacuated, c, b.Restored, now)
 		case r.Endpoint != "":
-			in.applyEndpoint(r.Endpoint, c, now)
+			in.applyEndpoint(r.Endpoint, c, b.Era, now)
 		case r.Instance != "":
 			in.applyInstance(r.Instance, c)
 		case r.Objects == in.settings.Region && !c.Deleted:
@@ -97,35 +100,16 @@
 	}
 }
 
-// adopt puts a desired state in force if it is newer than the current one.
-func (in *Instance) adopt(c mirror.Event) {
-	next, err := platform.DecodeDesired(c.Value)
-	if err != nil {
-		in.log.Log(events.StateRejected).Err(err).Int64("revision", int64(c.Revision)).Send()
-		return
-	}
-	old := in.state.Load()
-	if old != nil && next.Version <= old.Version {
-		if next.Version < old.Version {
-			in.log.Log(events.OlderStateIgnored).Uint64("state", uint64(next.Version)).Uint64("in_force", uint64(old.Version)).Send()
-		}
-		return
-	}
-	in.table.SetServices(next.Services)
-	in.state.Store(next)
-	in.log.Log(events.StateAdopted).Uint64("state", uint64(next.Version)).Int("routes", next.Routes()).
-		Int64("revision", int64(c.Revision)).Send()
-	in.heartbeatNow.Store(true)
-}
-
 // applyEndpoint updates the routing table from a change of an endpoint's entry.
-func (in *Instance) applyEndpoint(id model.EndpointID, c mirror.Event, now time.Time) {
+func (in *Instance) applyEndpoint(id model.EndpointID, c mirror.Event, era model.Era, now time.Time) {
 	change := ""
 	var e steering.Endpoint
 	var err error
 	switch {
 	case c.Deleted && now.Before(in.missingGraceUntil):
-		in.table.MarkMissing(id, in.missingGraceUntil, now)
+		if !in.table.MarkMissing(id, in.missingGraceUntil, now) {
+			in.entries.remove(id, now)
+		}
 		change = "lapsed"
 	case c.Deleted:
 		change = in.removeEndpoint(id, now)
@@ -135,6 +119,10 @@
 			change = in.removeEndpoint(id, now)
 			break
 		}
+		if !in.entries.put(e, c, era, now) {
+			change = "outdated"
+			break
+		}
 		change = in.table.Put(e, now)
 		if change == "restarted" || change == "leaving" {
 			in.client.Drop(id)
@@ -154,6 +142,7 @@
 // log, or "" if the endpoint was unknown.
 func (in *Instance) removeEndpoint(id model.EndpointID, now time.Time) string {
 	in.client.Drop(id)
+	in.entries.remove(id, now)
 	in.crashes.endpointEnded(id)
 	if !in.table.Remove(id, now) {
 		return ""
@@ -185,80 +174,3 @@
 		in.sendFull([]fleet.Presence{p}, fleet.LoadUpdate{}, true)
 	}
 }
-
-const (
-	// leaseTTL is how long the store lists an instance that has died. It may be
-	// long, because other instances detect the death by missing heartbeats; the
-	// list only serves for instances to find each other.
-	leaseTTL = 30 * time.Second
-	// renewInterval is the time between two renewals of the lease: a third of its
-	// TTL.
-	renewInterval = leaseTTL / 3
-	// announceRetryMin is the first pause after a failed announcement. It doubles
-	// up to renewInterval, which the lease outlasts.
-	announceRetryMin = time.Second
-)
-
-// announce keeps the instance listed in the store until the context ends.
-func (in *Instance) announce(ctx context.Context) {
-	var lease uint64
-	pause, retry := time.Duration(0), announceRetryMin
-	for {
-		select {
-		case <-ctx.Done():
-			in.withdraw(lease)
-			return
-		case <-time.After(pause):
-		}
-		var err error
-		lease, err = in.announceOnce(ctx, lease)
-		if err != nil {
-			in.log.Log(events.AnnouncementFailed).Err(err).Send()
-			pause, retry = retry, min(2*retry, renewInterval)
-			continue
-		}
-		in.announced.Store(true)
-		pause, retry = renewInterval, announceRetryMin
-	}
-}
-
-// announceOnce renews the lease, or writes the record under a new one if there is
-// none or it has ended. It returns the lease in use.
-func (in *Instance) announceOnce(ctx context.Context, lease uint64) (uint64, error) {
-	if lease != 0 {
-		err := in.store.Renew(ctx, lease)
-		if err == nil {
-			in.storeLost.Store(false)
-			return lease, nil
-		}
-		if !errors.Is(err, platform.ErrLeaseExpired) {
-			return lease, errors.Trace(err)
-		}
-	}
-	lease, _, err := in.store.Grant(ctx, leaseTTL)
-	if err != nil {
-		return 0, errors.Trace(err)
-	}
-	value, err := json.Marshal(announcement{in.settings.Region, in.settings.Domain, in.settings.Listen.Peer, in.settings.Listen.Requests})
-	if err != nil {
-		return 0, errors.Trace(err)
-	}
-	if err := in.store.Put(ctx, platform.InstanceKey(in.settings.Instance), value, lease); err != nil {
-		return 0, errors.Trace(err)
-	}
-	return lease, nil
-}
-
-// withdrawTimeout bounds the call that revokes the lease at shutdown.
-const withdrawTimeout = 200 * time.Millisecond
-
-func (in *Instance) withdraw(lease uint64) {
-	if lease == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-	defer cancel()
-	if err := in.store.Revoke(ctx, lease); err != nil {
-		in.log.Log(events.AnnouncementFailed).Err(err).Str("during", "stop").Send()
-	}
-}
