--- a/internal/serve/announce_test.go
+++ b/internal/serve/announce_test.go
@@ -13,6 +13,7 @@
 
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/platform"
+	"jujubestile.example/jujubestile/platform/standin"
 )
 
 // Guards against an announcement that counts as lost because one response of the
@@ -20,7 +21,7 @@
 func TestAnnouncementWithoutEra(t *testing.T) {
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/kv-txn" {
-			w.Header().Set("Store-Era", "2")
+			standin.SetEra(w.Header(), 2)
 		}
 		if _, err := io.WriteString(w, `{"leaseId":7,"ttl_time":"30000ms","revision":9}`); err != nil {
 			t.Error(err)
