--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -32,7 +32,7 @@
 
 // Era counts how often the platform's store has come back from a copy. Revisions
 // and leases of one era mean nothing in another one: the store gives their numbers
-// out again. 0 means that the store does not tell its era.
+// out again. 0 means that the store does not report its era.
 type Era uint64
 
 // Priority is the priority class of a request. Requests with a smaller value are
