--- a/internal/serve/announce_test.go
+++ b/internal/serve/announce_test.go
@@ -19,8 +19,9 @@
 // Guards against an announcement that counts as lost because one response of the
 // store has no era.
 func TestAnnouncementWithoutEra(t *testing.T) {
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/kv-txn" {
+	calls := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls++; calls == 1 { // The grant of the lease; the announcement follows.
 			standin.SetEra(w.Header(), 2)
 		}
 		if _, err := io.WriteString(w, `{"leaseId":7,"ttl_time":"30000ms","revision":9}`); err != nil {
