--- a/internal/serve/desired.go
+++ b/internal/serve/desired.go
@@ -12,6 +12,7 @@
 // restore the store may hold an older one, so other instances cannot always get
 // it from a copy of the store.
 type desiredRecord struct {
+	decoder platform.DesiredDecoder
 	encoded []byte
 	version desired.Version
 	// copied is the version in this instance's copy of the store.
@@ -40,7 +41,7 @@
 // adopt puts an encoded desired state in force if it is newer than the current
 // one. It returns its version, or 0 if it cannot be decoded. applyMu is held.
 func (in *Instance) adopt(encoded []byte, at mirror.Position, from model.InstanceID) desired.Version {
-	next, err := platform.DecodeDesired(encoded)
+	next, err := in.desired.decoder.Decode(encoded)
 	if err != nil {
 		in.log.Log(events.StateRejected).Err(err).Str("from", origin(from)).EmbedObject(at).Send()
 		return 0
