--- a/internal/events/catalogue_serve.go
+++ b/internal/events/catalogue_serve.go
@@ -72,8 +72,11 @@
 		"The instance fetched changes of the store, or a full copy, from another instance that watches the store.",
 		"None."}
 	ChangesFetchFailed = Event{846, "changes not fetched from another instance", zerolog.InfoLevel,
-		"Another instance has later changes of the store, but they could not be fetched from it.",
+		"Another instance has later changes of the store or a newer desired state, but they could not be fetched from it.",
 		"None for single failures; the next round tries again."}
+	StateFetched = Event{849, "desired state fetched from another instance", zerolog.InfoLevel,
+		"The instance fetched a newer desired state from another instance. The field base is the version to which it was sent as a difference, or 0, and bytes what was sent.",
+		"None."}
 	ObjectsRestored = Event{847, "recent objects restored", zerolog.InfoLevel,
 		"The instance has read from the store which objects the endpoints of its region have recently handled. An earlier process wrote the record.",
 		"None."}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -178,8 +178,9 @@
 	if len(changes) != 1 || changes[0].ID != "i12" {
 		t.Fatalf("silent: %v, want i12 only", changes)
 	}
-	if ahead := m.Ahead(presence(0, "a")); len(ahead) != 1 || ahead[0].ID != "i10" {
-		t.Fatalf("ahead: %v", ahead)
+	near, ahead := m.Ahead(presence(0, "a"), func(other, self Presence) bool { return self.Position.Before(other.Position) })
+	if len(near) != 0 || len(ahead) != 1 || ahead[0].ID != "i10" {
+		t.Fatalf("ahead: %v in the region, %v in others", near, ahead)
 	}
 }
 
--- a/internal/fleet/watchers.go
+++ b/internal/fleet/watchers.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"jujubestile.example/jujubestile/internal/desired"
@@ -53,18 +54,24 @@
 	return p.Position.Before(at) || p.Desired < version
 }
 
-// Ahead returns the live instances that have a later position of the store or a
-// newer desired state than self, those of the same region first.
-func (m *Members) Ahead(self Presence) []Presence {
-	var near, far []Presence
-	for _, p := range m.Alive() {
+// Ahead returns the live instances for which ahead(instance, self) holds: those of
+// the same region, beginning with the same failure domain, and those of other
+// regions. Within these groups the order is random, so that the calls that follow
+// are spread.
+func (m *Members) Ahead(self Presence, ahead func(other, self Presence) bool) (near, far []Presence) {
+	var domain []Presence
+	all := m.Alive()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, p := range all {
 		switch {
-		case !self.Behind(p.Position, p.Desired):
+		case !ahead(p, self):
+		case p.Domain == self.Domain:
+			domain = append(domain, p)
 		case p.Region == self.Region:
 			near = append(near, p)
 		default:
 			far = append(far, p)
 		}
 	}
-	return append(near, far...)
+	return append(domain, near...), far
 }
--- a/internal/serve/changes.go
+++ b/internal/serve/changes.go
@@ -22,16 +22,19 @@
 // takes crash reports, from other instances.
 type State struct{ in *Instance }
 
-// ChangesArgs asks for the changes after a position, and for the desired state in
-// force if its version is above Desired.
+// ChangesArgs asks for the changes after a position.
 type ChangesArgs struct {
-	After   mirror.Revision
-	Era     model.Era
-	Desired desired.Version
+	After mirror.Revision
+	Era   model.Era
+	// Desired is the version of the caller's desired state. DesiredApart means that
+	// it fetches desired states with a call of their own.
+	Desired      desired.Version
+	DesiredApart bool
 }
 
 // Changes is the reply to ChangesArgs: changes of the store, or a full copy of it
-// if the change log does not reach back to the requested position.
+// if the change log does not reach back to the requested position. It lacks the
+// records of objects and the desired state.
 type Changes struct {
 	Events []mirror.Event
 	// Whole means that Packed holds a full copy and replaces Events.
@@ -40,8 +43,8 @@
 	// At and Era are the position that the receiver reaches with this reply.
 	At  mirror.Revision
 	Era model.Era
-	// Desired is the desired state in force, as the store encoded it. It is empty
-	// if the caller has it or gets it with the changes.
+	// Desired is the desired state in force, as the store encoded it, for a caller
+	// that has an older one and does not fetch it apart.
 	Desired []byte
 	// Grace is the remaining time of the grace period for missing endpoint
 	// entries after an outage of the store. It is not positive if there is none.
@@ -64,98 +67,54 @@
 		}
 	}
 	reply.At, reply.Era = at.Revision, at.Era
-	reply.Events = withoutObjects(reply.Events)
+	reply.Events = withoutUnshared(reply.Events)
 	s.in.applyMu.Lock()
 	reply.Grace = time.Until(s.in.missingGraceUntil)
-	reply.Desired = s.in.desired.newerThan(args.Desired, reply.includesDesired())
 	s.in.applyMu.Unlock()
+	if !args.DesiredApart {
+		reply.Desired = s.in.states.newerThan(args.Desired)
+	}
 	if after == (mirror.Position{}) {
 		reply.Members = s.in.members.Alive()
 	}
 	return nil
 }
 
-// includesDesired reports whether the changes contain the desired state that the
-// store holds.
-func (c *Changes) includesDesired() bool {
-	return c.Whole || slices.ContainsFunc(c.Events, func(e mirror.Event) bool {
-		return !e.Deleted && platform.RecordOf(e.Key).Desired
-	})
+// unshared reports whether instances do not send the record of a key with the
+// changes: that of objects, which only a starting instance needs, and the desired
+// state, which is large.
+func unshared(key string) bool {
+	r := platform.RecordOf(key)
+	return r.Objects != "" || r.Desired
 }
 
-const (
-	// catchUpInterval is the time between two rounds of comparing positions with
-	// other instances, if no message shows a later one sooner.
-	catchUpInterval = 300 * time.Millisecond
-	// watchDeliveryWait is how long an instance that watches the store itself
-	// waits for its watch to deliver a change before it asks other instances.
-	watchDeliveryWait = 300 * time.Millisecond
-	// catchUpTimeout bounds one Changes call.
-	catchUpTimeout = time.Second
-	// maxCatchUpSources is how many instances one round asks at most.
-	maxCatchUpSources = 2
-)
-
-// catchUp fetches changes from instances with a later position. Usually that is
-// the instance that watches the store for the region; while the store does not
-// respond it can be any instance.
-func (in *Instance) catchUp(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-in.catchUpNow:
-		case <-time.After(catchUpInterval):
-		}
-		if _, age := in.copy.Position(time.Now()); age == 0 && !in.storeLost.Load() {
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(watchDeliveryWait):
-			}
-		}
-		for _, from := range in.changeSources() {
-			if in.fetchChanges(ctx, from) {
-				break
-			}
-		}
-	}
+// withoutUnshared filters out the changes that instances do not send.
+func withoutUnshared(changes []mirror.Event) []mirror.Event {
+	return slices.DeleteFunc(slices.Clone(changes), func(c mirror.Event) bool { return unshared(c.Key) })
 }
 
-// changeSources returns instances with a later position or a newer desired state.
-// While the copy is empty
-// and no such instance is known, it returns the seeds.
-func (in *Instance) changeSources() []model.InstanceID {
-	var out []model.InstanceID
-	for _, p := range in.members.Ahead(in.presence()) {
-		out = append(out, p.ID)
-	}
-	if len(out) == 0 && !in.copy.Loaded() {
-		for _, s := range in.seeds() {
-			out = append(out, model.InstanceID(s.String()))
-		}
-	}
-	return out[:min(len(out), maxCatchUpSources)]
+// sharedItems filters the items that instances do not send out of a full copy.
+// Those that do not watch the store hold outdated ones or none.
+func sharedItems(items []mirror.Item) []mirror.Item {
+	return slices.DeleteFunc(slices.Clone(items), func(it mirror.Item) bool { return unshared(it.Key) })
 }
 
-// fetchChanges fetches the changes after the position of this instance's copy, or
-// a newer desired state, from another instance. It reports whether there were any.
+// fetchChanges fetches the changes after the position of this instance's copy from
+// another instance. It reports whether there were any.
 func (in *Instance) fetchChanges(ctx context.Context, from model.InstanceID) bool {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
 	before, _ := in.copy.Position(time.Now())
-	args := ChangesArgs{After: before.Revision, Era: before.Era, Desired: in.desiredVersion()}
+	args := ChangesArgs{After: before.Revision, Era: before.Era, Desired: in.desiredVersion(), DesiredApart: true}
 	var c Changes
 	err := in.peers.Call(ctx, from, stateService+".Changes", args, &c)
 	if err == nil {
 		err = in.takeChanges(from, before, c)
 	}
 	if err != nil {
-		in.log.Log(events.ChangesFetchFailed).Str("from", string(from)).Err(err).Send()
+		in.fetchFailed(ctx, from, err)
 		return false
 	}
 	at, _ := in.copy.Position(time.Now())
-	return before.Before(at) || in.desiredVersion() > args.Desired
+	return before.Before(at)
 }
 
 // takeChanges applies the changes that another instance returned for a position.
@@ -169,11 +128,6 @@
 			return errors.Trace(err)
 		}
 	}
-	if len(c.Desired) > 0 {
-		in.applyMu.Lock()
-		in.adopt(c.Desired, at, from)
-		in.applyMu.Unlock()
-	}
 	return nil
 }
 
--- a/internal/serve/changes_test.go
+++ b/internal/serve/changes_test.go
@@ -22,10 +22,21 @@
 		t.Fatalf("version %d in force", in.desiredVersion())
 	}
 	var reply Changes
-	if err := (&State{in}).Changes(ChangesArgs{After: 7, Desired: 1}, &reply); err != nil {
+	if err := (&State{in}).Changes(ChangesArgs{After: 7, Desired: 1, DesiredApart: true}, &reply); err != nil {
 		t.Fatal(err)
 	}
-	if len(reply.Events) != 1 || len(reply.Desired) == 0 {
-		t.Errorf("%d changes and a desired state of %d bytes for an instance with version 1", len(reply.Events), len(reply.Desired))
+	var state DesiredReply
+	if err := (&State{in}).Desired(DesiredArgs{Have: 1}, &state); err != nil {
+		t.Fatal(err)
+	}
+	if len(reply.Events) != 1 || state.State.Version != 2 || len(state.State.Packed) == 0 {
+		t.Errorf("%d changes, and version %d in %d bytes for an instance with version 1", len(reply.Events), state.State.Version, len(state.State.Packed))
+	}
+	var older Changes // To an instance that does not fetch desired states apart.
+	if err := (&State{in}).Changes(ChangesArgs{After: 7, Desired: 1}, &older); err != nil {
+		t.Fatal(err)
+	}
+	if len(older.Events) != 1 || len(older.Desired) == 0 {
+		t.Errorf("%d changes and a desired state of %d bytes for an earlier program with version 1", len(older.Events), len(older.Desired))
 	}
 }
--- a/internal/serve/desired.go
+++ b/internal/serve/desired.go
@@ -1,33 +1,77 @@
 package serve
 
 import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
 	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/model"
-	"jujubestile.example/jujubestile/platform"
 )
 
-// desiredRecord holds the desired state in force as the store encoded it. After a
-// restore the store may hold an older one, so other instances cannot always get
-// it from a copy of the store.
-type desiredRecord struct {
-	decoder platform.DesiredDecoder
-	encoded []byte
-	version desired.Version
-	// copied is the version in this instance's copy of the store.
-	copied desired.Version
+// The desired state can be a thousand times larger than any other change. Instances
+// therefore fetch it apart from the changes of the store, so that these do not wait
+// for it, and as the difference to the one that they have.
+
+// DesiredArgs asks for the desired state in force if its version is above Have.
+type DesiredArgs struct {
+	Have desired.Version
+}
+
+// DesiredReply is the reply to DesiredArgs. It is empty if there is no newer state.
+type DesiredReply struct {
+	State packedState
+	// At and Era are the position of the sender's copy of the store.
+	At  mirror.Revision
+	Era model.Era
+}
+
+// Desired is the RPC method that returns a newer desired state.
+func (s *State) Desired(args DesiredArgs, reply *DesiredReply) error {
+	at, _ := s.in.copy.Position(time.Now())
+	reply.At, reply.Era = at.Revision, at.Era
+	var err error
+	reply.State, err = s.in.states.pack(args.Have)
+	return errors.Trace(err)
 }
 
-// newerThan returns the desired state in force if its version is above that of
-// another instance. It returns nil if that instance gets it with the changes of
-// the store, which is the case if they include the store's desired state and that
-// is the one in force.
-func (d *desiredRecord) newerThan(version desired.Version, included bool) []byte {
-	if d.version <= version || included && d.copied == d.version {
-		return nil
+// fetchDesired fetches a newer desired state from another instance. It reports
+// whether there was one.
+func (in *Instance) fetchDesired(ctx context.Context, from model.InstanceID) bool {
+	started := time.Now()
+	have := in.desiredVersion()
+	var reply DesiredReply
+	err := in.peers.Call(ctx, from, stateService+".Desired", DesiredArgs{Have: have}, &reply)
+	if err == nil && reply.State.Version > have {
+		err = in.takeDesired(from, reply)
+	}
+	if err != nil {
+		in.fetchFailed(ctx, from, err)
+		return false
+	}
+	if reply.State.Version <= have {
+		return false
+	}
+	in.counters.statesFetched.Add(1)
+	in.counters.stateBytesFetched.Add(int64(len(reply.State.Packed)))
+	in.log.Log(events.StateFetched).Str("from", string(from)).Uint64("state", uint64(reply.State.Version)).
+		Uint64("base", uint64(reply.State.Base)).Int("bytes", len(reply.State.Packed)).Dur("took_ms", time.Since(started)).Send()
+	return in.desiredVersion() > have
+}
+
+// takeDesired puts a fetched desired state in force.
+func (in *Instance) takeDesired(from model.InstanceID, reply DesiredReply) error {
+	encoded, err := in.states.unpack(reply.State)
+	if err != nil {
+		return errors.Trace(err)
 	}
-	return d.encoded
+	in.applyMu.Lock()
+	defer in.applyMu.Unlock()
+	in.adopt(encoded, mirror.Position{Era: reply.Era, Revision: reply.At}, from)
+	return nil
 }
 
 // desiredVersion returns the version of the desired state in force, or 0.
@@ -39,12 +83,12 @@
 }
 
 // adopt puts an encoded desired state in force if it is newer than the current
-// one. It returns its version, or 0 if it cannot be decoded. applyMu is held.
-func (in *Instance) adopt(encoded []byte, at mirror.Position, from model.InstanceID) desired.Version {
-	next, err := in.desired.decoder.Decode(encoded)
+// one. applyMu is held.
+func (in *Instance) adopt(encoded []byte, at mirror.Position, from model.InstanceID) {
+	next, err := in.decoder.Decode(encoded)
 	if err != nil {
 		in.log.Log(events.StateRejected).Err(err).Str("from", origin(from)).EmbedObject(at).Send()
-		return 0
+		return
 	}
 	old := in.state.Load()
 	if old != nil && next.Version <= old.Version {
@@ -52,13 +96,12 @@
 			in.log.Log(events.OlderStateIgnored).Uint64("state", uint64(next.Version)).Uint64("in_force", uint64(old.Version)).
 				Str("from", origin(from)).EmbedObject(at).Send()
 		}
-		return next.Version
+		return
 	}
 	in.table.SetServices(next.Services)
 	in.state.Store(next)
-	in.desired.encoded, in.desired.version = encoded, next.Version
-	in.log.Log(events.StateAdopted).Uint64("state", uint64(next.Version)).Int("routes", next.Routes()).
+	in.states.add(next.Version, encoded)
+	in.log.Log(events.StateAdopted).Uint64("state", uint64(next.Version)).Int("routes", next.Routes()).Int("bytes", len(encoded)).
 		Str("from", origin(from)).EmbedObject(at).Send()
 	in.heartbeatNow.Store(true)
-	return next.Version
 }
--- a/internal/serve/listeners.go
+++ b/internal/serve/listeners.go
@@ -192,6 +192,7 @@
 // instances that advanced the copy, and health probes.
 type counters struct {
 	lookups, storeLost, storeRestored, storeCompacted, changesFetched, probes expvar.Int
+	statesFetched, stateBytesFetched, fetchesFailed                           expvar.Int
 }
 
 // serveMetrics writes the counters as one JSON object.
@@ -217,6 +218,9 @@
 		"probes":           in.counters.probes.Value(),
 		"store_lost":       in.counters.storeLost.Value(),
 		"snapshots_taken":  in.counters.changesFetched.Value(),
+		"states_fetched":   in.counters.statesFetched.Value(),
+		"state_bytes":      in.counters.stateBytesFetched.Value(),
+		"fetches_failed":   in.counters.fetchesFailed.Value(),
 		"store_restored":   in.counters.storeRestored.Value(),
 		"store_compacted":  in.counters.storeCompacted.Value(),
 		"store_era":        uint64(at.Era),
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -106,14 +106,6 @@
 	return fleet.Presence{Position: own, Desired: in.desiredVersion()}.Behind(at, version)
 }
 
-// requestCatchUp makes catchUp start a round without waiting for its interval.
-func (in *Instance) requestCatchUp() {
-	select {
-	case in.catchUpNow <- struct{}{}:
-	default:
-	}
-}
-
 // applyMemberChanges logs changes of other instances and updates the live
 // instances in the routing table.
 func (in *Instance) applyMemberChanges(changes []fleet.Change) {
--- a/internal/serve/objects.go
+++ b/internal/serve/objects.go
@@ -74,28 +74,3 @@
 	in.table.RestoreRecentObjects(recent)
 	in.log.Log(events.ObjectsRestored).Int("endpoints", len(recent)).Int64("revision", int64(c.Revision)).Send()
 }
-
-// withoutObjects filters out the object records, which only a starting instance
-// needs.
-func withoutObjects(changes []mirror.Event) []mirror.Event {
-	out := changes[:0:0]
-	for _, c := range changes {
-		if platform.RecordOf(c.Key).Objects == "" {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
-// itemsWithoutObjects filters the object records out of a full copy: instances
-// that do not watch the store hold outdated ones, because changes are sent
-// without them.
-func itemsWithoutObjects(items []mirror.Item) []mirror.Item {
-	out := items[:0:0]
-	for _, it := range items {
-		if platform.RecordOf(it.Key).Objects == "" {
-			out = append(out, it)
-		}
-	}
-	return out
-}
--- a/internal/serve/packed.go
+++ b/internal/serve/packed.go
@@ -60,7 +60,7 @@
 	if p.bytes != nil && p.at == at {
 		return p.bytes, at, nil
 	}
-	b, err := pack(itemsWithoutObjects(items))
+	b, err := pack(sharedItems(items))
 	if err != nil {
 		return nil, mirror.Position{}, err
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -37,6 +37,7 @@
 	store   *platform.Store
 	copy    *mirror.Copy
 	packed  packedCopy
+	states  encodedStates
 	table   *steering.Table
 	members *fleet.Members
 	socket  *fleet.Socket
@@ -53,7 +54,7 @@
 	started   time.Time
 
 	// applyMu serializes applying the changes of the store's copy. It guards
-	// objectsRestored, missingGraceUntil, restoredEra, desired, entries and evacuations.
+	// objectsRestored, missingGraceUntil, restoredEra, decoder, entries and evacuations.
 	applyMu sync.Mutex
 	// objectsRestored is set once the object record of an earlier process has
 	// been loaded.
@@ -64,7 +65,7 @@
 	missingGraceUntil time.Time
 	// restoredEra is the era of the last restore of the store.
 	restoredEra model.Era
-	desired     desiredRecord
+	decoder     platform.DesiredDecoder
 	entries     entryHistory
 	evacuations evacuations
 	// storeRestores wakes up announce when the store was restored.
@@ -78,18 +79,18 @@
 	groupReportedAt map[model.InstanceID]time.Time
 	// placements queues the placements made by instances of this failure
 	// domain, for this instance's next report on the domain.
-	placementsMu sync.Mutex
-	placements   []steering.Placement
-	// catchUpNow makes catchUp start a round without waiting for its interval.
-	catchUpNow chan struct{}
-	counters   counters
+	placementsMu  sync.Mutex
+	placements    []steering.Placement
+	fetchers      []fetcher
+	failedSources failedSources
+	counters      counters
 }
 
 // New returns an instance that is not running yet.
 func New(s Settings, log events.Logger) *Instance {
 	now := time.Now()
 	in := &Instance{settings: s, log: log, incarnation: model.Incarnation(now.UnixNano()), started: now,
-		catchUpNow: make(chan struct{}, 1), storeRestores: make(chan struct{}, 1),
+		storeRestores:   make(chan struct{}, 1),
 		groupReportedAt: map[model.InstanceID]time.Time{}, entries: newEntryHistory(), evacuations: newEvacuations()}
 	in.store = platform.NewStore(s.Store.Address.String(), storeTransport())
 	in.copy = mirror.New(in.apply)
@@ -103,6 +104,7 @@
 	in.handler = forward.New(forward.Config{Protocol: platform.CallerHeaders{}, EngineConfig: forward.EngineConfig{Log: log, Table: in.table,
 		Transport: in.client, Budget: in.budget, Rand: newRand(), State: in.state.Load,
 		Instances: in.instanceCount, OnUnreachable: in.endpointDown, Quarantine: in.crashes}})
+	in.fetchers = in.newFetchers()
 	in.peers = peer.NewPool(in.resolve, peer.PoolOptions{})
 	return in
 }
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -84,10 +84,8 @@
 	for _, c := range b.Events {
 		r := platform.RecordOf(c.Key)
 		switch {
-		case r.Desired && c.Deleted:
-			in.desired.copied = 0
-		case r.Desired:
-			in.desired.copied = in.adopt(c.Value, mirror.Position{Era: b.Era, Revision: c.Revision}, b.From)
+		case r.Desired && !c.Deleted:
+			in.adopt(c.Value, mirror.Position{Era: b.Era, Revision: c.Revision}, b.From)
 		case r.Evacuated != "":
 			in.applyEvacuation(r.Evacuated, c, b.Restored, now)
 		case r.Endpoint != "":
