--- a/internal/serve/cluster_test.go
+++ b/internal/serve/cluster_test.go
@@ -20,6 +20,7 @@
 	"jujubestile.example/jujubestile/internal/logtest"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/serve"
+	"jujubestile.example/jujubestile/internal/soak"
 	"jujubestile.example/jujubestile/platform/standin"
 )
 
@@ -35,9 +36,12 @@
 	// ports.
 	peerPort *freeport.Port
 	ports    []*freeport.Port
+	// proxied gives each instance a proxy of its own in front of the store.
+	proxied bool
 }
 
 type instance struct {
+	store    *soak.Proxy
 	settings serve.Settings
 	stop     context.CancelFunc
 	done     chan error
@@ -46,12 +50,17 @@
 var domains = map[model.Domain]model.Region{"a1": "a", "a2": "a", "b1": "b"}
 
 func newCluster(t *testing.T, instances, endpoints int) *cluster {
+	t.Helper()
+	return startCluster(t, instances, endpoints, false)
+}
+
+func startCluster(t *testing.T, instances, endpoints int, proxied bool) *cluster {
 	t.Helper()
 	store, err := standin.StartStore("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &cluster{t: t, store: store, logs: &logtest.Buffer{}}
+	c := &cluster{t: t, store: store, logs: &logtest.Buffer{}, proxied: proxied}
 	t.Cleanup(c.close)
 	c.peerPort = c.reservePort()
 	for i := range endpoints {
@@ -73,6 +82,9 @@
 	}
 	for _, in := range c.instances {
 		<-in.done
+		if in.store != nil {
+			in.store.Close()
+		}
 	}
 	for _, e := range c.endpoints {
 		e.Close()
@@ -135,8 +147,16 @@
 		Seeds:  []netip.AddrPort{netip.MustParseAddrPort("127.9.1.1:1"), netip.MustParseAddrPort("127.9.1.2:1")},
 		Bounds: serve.Bounds{Grace: serve.Duration(2 * time.Second), RetryRatio: 0.2, RetrySlack: 120,
 			RetryWindow: serve.Duration(10 * time.Second), MaxShift: 0.15}}
+	var proxy *soak.Proxy
+	if c.proxied {
+		var err error
+		if proxy, err = soak.NewProxy(c.store.Addr()); err != nil {
+			c.t.Fatal(err)
+		}
+		s.Store.Address = netip.MustParseAddrPort(proxy.Addr())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	in := &instance{settings: s, stop: cancel, done: make(chan error, 1)}
+	in := &instance{settings: s, store: proxy, stop: cancel, done: make(chan error, 1)}
 	run := serve.New(s, events.New(c.logs, zerolog.DebugLevel, string(s.Instance)))
 	go func() {
 		defer close(in.done)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -61,6 +61,9 @@
 	p.conns = map[net.Conn]bool{}
 }
 
+// Silence makes the proxy drop all data until ClearFaults is called.
+func (p *Proxy) Silence() { p.silent.Store(true) }
+
 // ClearFaults clears all faults. Connections that dropped data are reset, since
 // the data cannot be sent again.
 func (p *Proxy) ClearFaults() {
