--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -29,7 +29,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r := m.Report(Group{"a", "a1"}, p)
+		r := m.Report(Group{"a", "a1"}, p, start)
 		alive, err := EncodeReport(r, false)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,8 +28,10 @@
 	Peer, Entry netip.AddrPort
 	Ready       bool
 	Leaving     bool
-	// Position is that of the instance's copy of the store.
+	// Position is that of the instance's copy of the store. CopyAge is how long
+	// before the message that copy is known to have held every change of the store.
 	Position mirror.Position
+	CopyAge  time.Duration
 	// Desired is the version of the desired state in force on the instance. After
 	// a restore of the store it may be newer than the one in the copy.
 	Desired desired.Version
@@ -50,6 +52,9 @@
 	// lastHeard is when the last message of the instance, or the last report
 	// that lists it as alive, was received. It is zero if there was none.
 	lastHeard time.Time
+	// confirmedAt is the last time at which the instance's copy, at its position, is
+	// known to have held every change of the store.
+	confirmedAt time.Time
 	// listed means that the store lists the instance.
 	listed bool
 	alive  bool
@@ -148,6 +153,7 @@
 		changes = append(changes, Change{p, "seen"})
 	}
 	o.Presence, o.lastHeard, o.alive = p, now, true
+	o.confirmedAt = now.Add(-p.CopyAge)
 	return changes, newProcess
 }
 
@@ -164,7 +170,7 @@
 	p = o.Presence
 	m.mu.Unlock()
 	p.setFlags(b.Flags)
-	p.Position, p.Desired = b.position(), b.Desired
+	p.Position, p.CopyAge, p.Desired = b.position(), decodeAge(b.Age), b.Desired
 	changes, _ = m.ReceiveFull(p, now)
 	return p, changes, true
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -119,7 +119,7 @@
 	all := tables(8)
 	watching := func(now time.Time, skip int) (watchers []int) {
 		for i, m := range all {
-			if i != skip && m.ShouldWatch(now) {
+			if i != skip && m.ShouldWatch(presence(i, "a"), 0, now) {
 				watchers = append(watchers, i)
 			}
 		}
@@ -163,7 +163,7 @@
 	}
 	far := NewMembers("i10", "b", "b1")
 	far.ReceiveFull(presence(11, "b"), start)
-	r := far.Report(Group{Region: "b"}, presence(10, "b"))
+	r := far.Report(Group{Region: "b"}, presence(10, "b"), start)
 	r.Loads, r.Era, r.Revision = LoadPairs(steering.Loads{7: 3}), 3, 20
 	b, err := EncodeReport(r, false)
 	if err != nil || len(b) != 1 {
@@ -221,7 +221,7 @@
 	}
 	far := NewMembers("i10", "b", "b1")
 	far.ReceiveFull(presence(11, "b"), start)
-	m.ReceiveReport(far.Report(g, presence(10, "b")), start)
+	m.ReceiveReport(far.Report(g, presence(10, "b"), start), start)
 	if alive := m.Alive(); len(alive) != 2 {
 		t.Fatalf("alive after the first report: %v", alive)
 	}
@@ -245,7 +245,7 @@
 	far := NewMembers("i1", "a", "a2")
 	for _, settled := range []bool{false, true} {
 		p.Settled = settled
-		m.ReceiveReport(far.Report(Group{"a", "a2"}, p), start)
+		m.ReceiveReport(far.Report(Group{"a", "a2"}, p, start), start)
 		if m.RegionSettled() != settled {
 			t.Errorf("region settled: %v, want %v", m.RegionSettled(), settled)
 		}
--- a/internal/fleet/groups.go
+++ b/internal/fleet/groups.go
@@ -5,7 +5,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/mirror"
@@ -67,12 +66,19 @@
 	// Seen holds the recent placements: pairs of the wire IDs of an endpoint and
 	// of an object for which it was sent a request.
 	Seen []uint32
+	// Age is the encoded age of the youngest copy of the store at that position. It
+	// follows the encoded report.
+	Age uint8 `msgpack:"-"`
 	// Low and High bound the wire IDs to which Whole applies. If High is 0, it
 	// applies to all.
 	Low  uint32 `msgpack:"-"`
 	High uint32 `msgpack:"-"`
 }
 
+// CopyAge returns the age of the group's youngest copy of the store at its latest
+// position.
+func (r Report) CopyAge() time.Duration { return decodeAge(r.Age) }
+
 // Group returns the group that the report is about.
 func (r Report) Group() Group { return Group{r.Region, r.Domain} }
 
@@ -81,10 +87,14 @@
 	return mirror.Position{Era: r.Era, Revision: r.Revision}
 }
 
-// advance raises the position and the version to those of an instance.
-func (r *Report) advance(p Presence) {
+// advance raises the position and the version to those of an instance whose copy has
+// the given age.
+func (r *Report) advance(p Presence, age time.Duration) {
 	if r.Position().Before(p.Position) {
-		r.Era, r.Revision = p.Position.Era, p.Position.Revision
+		r.Era, r.Revision, r.Age = p.Position.Era, p.Position.Revision, 0
+	}
+	if r.Position() == p.Position {
+		r.Age = encodeAge(min(age, r.CopyAge()))
 	}
 	r.Desired = max(r.Desired, p.Desired)
 }
@@ -154,16 +164,16 @@
 // Report returns a report on a group to which this instance belongs, with the
 // live instances, the latest position and the newest desired state, but without
 // loads.
-func (m *Members) Report(g Group, self Presence) Report {
+func (m *Members) Report(g Group, self Presence, now time.Time) Report {
 	r := Report{Region: g.Region, Domain: g.Domain, From: wireID(self.ID)}
-	r.advance(self)
+	r.advance(self, self.CopyAge)
 	r.Alive = append(r.Alive, wireID(self.ID), uint32(self.flags()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, o := range m.members {
 		if o.alive && g.contains(o.Presence) {
 			r.Alive = append(r.Alive, uint32(o.hash), uint32(o.flags()))
-			r.advance(o.Presence)
+			r.advance(o.Presence, now.Sub(o.confirmedAt))
 		}
 	}
 	return r
@@ -191,8 +201,8 @@
 		o.lastHeard, o.alive = now, true
 	}
 	if o := m.members[m.byWireID[r.From]]; o != nil && r.Group().contains(o.Presence) {
-		if at := r.Position(); o.Position.Before(at) {
-			o.Position = at
+		if at := r.Position(); !at.Before(o.Position) {
+			o.Position, o.confirmedAt = at, now.Add(-r.CopyAge())
 		}
 		o.Desired = max(o.Desired, r.Desired)
 	}
@@ -254,7 +264,7 @@
 	}
 	var out [][]byte
 	for _, p := range r.parts() {
-		b, err := encode(kind, &p)
+		b, err := encode(kind, &p, p.Age)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
@@ -268,9 +278,11 @@
 
 func decodeReport(b []byte) (*Report, error) {
 	var r Report
-	if err := msgpack.Unmarshal(b, &r); err != nil {
+	age, err := decodeValue(b, &r)
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	r.Age = age
 	if len(r.Loads)%2 != 0 || len(r.Seen)%2 != 0 || len(r.Alive)%2 != 0 || r.Region == "" {
 		return nil, errors.New("report without a region or with an odd number of pair values")
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -57,6 +58,35 @@
 	// Seen holds the sender's recent placements: pairs of the wire IDs of an
 	// endpoint and of an object for which it was sent a request.
 	Seen []uint32
+	// Age is the encoded age of the sender's copy of the store. It follows the
+	// encoded message, where earlier programs ignore it.
+	Age uint8 `msgpack:"-"`
+}
+
+const (
+	// ageUnit is the unit of encoded ages, and maxAge the longest age that can be
+	// told from an unknown one.
+	ageUnit = 20 * time.Millisecond
+	maxAge  = 254 * ageUnit
+	// UnknownAge is the age of a copy that is older than maxAge, or of which the
+	// sender does not tell the age.
+	UnknownAge = time.Hour
+)
+
+// encodeAge encodes the age of a copy, rounded up. 0 stands for an unknown age.
+func encodeAge(d time.Duration) uint8 {
+	if d > maxAge {
+		return 0
+	}
+	return uint8((max(d, 0)+ageUnit-1)/ageUnit) + 1
+}
+
+// decodeAge reverses encodeAge.
+func decodeAge(n uint8) time.Duration {
+	if n == 0 {
+		return UnknownAge
+	}
+	return time.Duration(n-1) * ageUnit
 }
 
 func (b Brief) position() mirror.Position {
@@ -117,7 +147,7 @@
 
 func newBrief(p Presence, update LoadUpdate) Brief {
 	b := Brief{From: wireID(p.ID), Incarnation: uint32(p.Incarnation), Flags: p.flags(),
-		Era: p.Position.Era, Revision: p.Position.Revision, Desired: p.Desired}
+		Era: p.Position.Era, Revision: p.Position.Revision, Desired: p.Desired, Age: encodeAge(p.CopyAge)}
 	b.Loads, b.Seen = LoadPairs(update.Loads), PlacementPairs(update.Placements)
 	return b
 }
@@ -142,7 +172,7 @@
 	var out [][]byte
 	for _, r := range (Report{Whole: true, Seen: b.Seen, Loads: b.Loads}).parts() {
 		b.Seen, b.Loads = r.Seen, r.Loads
-		encoded, err := encode(kind, message(b))
+		encoded, err := encode(kind, message(b), b.Age)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
@@ -164,8 +194,9 @@
 	return append(binary.BigEndian.AppendUint32(out, high), b...)
 }
 
-// encode encodes a message with integers in as few bytes as possible.
-func encode(kind byte, m any) ([]byte, error) {
+// encode encodes a message with integers in as few bytes as possible, followed by
+// the age of a copy.
+func encode(kind byte, m any, age uint8) ([]byte, error) {
 	var b bytes.Buffer
 	b.WriteByte(kind)
 	e := msgpack.NewEncoder(&b)
@@ -173,9 +204,24 @@
 	if err := e.Encode(m); err != nil {
 		return nil, errors.Trace(err)
 	}
+	b.WriteByte(age)
 	return b.Bytes(), nil
 }
 
+// decodeValue reverses encode, without the kind. The age of a message that has none
+// is 0.
+func decodeValue(b []byte, m any) (age uint8, err error) {
+	r := bytes.NewReader(b)
+	if err := msgpack.NewDecoder(r).Decode(m); err != nil {
+		return 0, errors.Trace(err)
+	}
+	age, err = r.ReadByte()
+	if errors.Is(err, io.EOF) {
+		return 0, nil
+	}
+	return age, errors.Trace(err)
+}
+
 // Message is a decoded message of any kind.
 type Message struct {
 	// Report is set if the message is a group report. The other fields except
@@ -217,14 +263,18 @@
 	var m Message
 	switch b[0] {
 	case kindBrief:
-		if err := msgpack.Unmarshal(b[1:], &m.Brief); err != nil {
+		age, err := decodeValue(b[1:], &m.Brief)
+		if err != nil {
 			return Message{}, errors.Trace(err)
 		}
+		m.Brief.Age = age
 	case kindFull:
 		var f full
-		if err := msgpack.Unmarshal(b[1:], &f); err != nil {
+		age, err := decodeValue(b[1:], &f)
+		if err != nil {
 			return Message{}, errors.Trace(err)
 		}
+		f.Brief.Age = age
 		p, err := f.presence()
 		if err != nil {
 			return Message{}, errors.Trace(err)
@@ -252,7 +302,7 @@
 		return Presence{}, errors.New("message without an instance ID")
 	}
 	p := Presence{ID: model.InstanceID(f.ID), Incarnation: model.Incarnation(f.Incarnation), Region: model.Region(f.Region),
-		Domain: model.Domain(f.Domain), Peer: peer, Entry: entry, Position: f.Brief.position(), Desired: f.Brief.Desired}
+		Domain: model.Domain(f.Domain), Peer: peer, Entry: entry, Position: f.Brief.position(), CopyAge: decodeAge(f.Brief.Age), Desired: f.Brief.Desired}
 	p.setFlags(f.Brief.Flags)
 	return p, nil
 }
--- a/internal/fleet/watchers.go
+++ b/internal/fleet/watchers.go
@@ -12,6 +12,12 @@
 // changes from it. It is the one with the lowest hash among those that can
 // reach the store. After a change the instances may briefly disagree on which
 // one that is, which has no effect but additional calls of the store.
+//
+// A watcher that is cut off from the store, frozen or slow is noticed late, and so
+// may be the next ones. Messages therefore tell how old each copy of the store is,
+// which says at most as much as is known: a copy ages whatever the reason. If none
+// of a region is younger than a limit, all its instances ask the store themselves,
+// one after the other at short intervals, until one has succeeded.
 
 const (
 	// takeoverDelay is how long a region may be without a watching instance
@@ -20,18 +26,37 @@
 	// takeoverStep is added to takeoverDelay for each instance with a lower hash,
 	// so that not all take over at once.
 	takeoverStep = 150 * time.Millisecond
+	// staleAge is the age from which a copy of the store is stale. It is above the
+	// time between two checks of a watcher and what messages of small failure
+	// domains take.
+	staleAge = time.Second
+	// turnStep is the time between the turns of two instances while their copies are
+	// stale, turnTime the length of a turn.
+	turnStep = 60 * time.Millisecond
+	turnTime = 200 * time.Millisecond
+	// minTurnCycle is the shortest time between two turns of an instance.
+	minTurnCycle = time.Second
 )
 
 // ShouldWatch reports whether this instance should watch the store for its
-// region.
-func (m *Members) ShouldWatch(now time.Time) bool {
+// region. messageDelay is what is added to the age of its copy because messages in
+// large failure domains are less frequent.
+func (m *Members) ShouldWatch(self Presence, messageDelay time.Duration, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	own := hash(m.self)
-	lower := 0
+	lower, rank, count := 0, 0, 1
 	watched := false
 	for _, o := range m.members {
-		if o.Region != m.region || !o.alive || o.Leaving || o.StoreLost {
+		if o.Region != m.region || !o.alive || o.Leaving {
+			continue
+		}
+		count++
+		if o.hash < own {
+			rank++
+		}
+		// If the store responds to none, only the first one keeps calling it.
+		if o.StoreLost && !self.StoreLost {
 			continue
 		}
 		if o.hash < own {
@@ -42,10 +67,18 @@
 	if watched || lower == 0 || m.lastWatched.IsZero() {
 		m.lastWatched = now
 	}
-	if lower == 0 {
+	if lower == 0 || isTurn(self.CopyAge-staleAge-messageDelay, rank, count) {
 		return true
 	}
-	return now.Sub(m.lastWatched) > takeoverDelay+time.Duration(lower)*takeoverStep
+	return !self.StoreLost && now.Sub(m.lastWatched) > takeoverDelay+time.Duration(lower)*takeoverStep
+}
+
+// isTurn reports whether it is the turn of an instance to ask the store, by the time
+// for which its copy has been stale and its rank among count instances.
+func isTurn(stale time.Duration, rank, count int) bool {
+	since := stale - time.Duration(rank)*turnStep
+	cycle := max(time.Duration(count)*turnStep, minTurnCycle)
+	return since >= 0 && since%cycle < turnTime
 }
 
 // Behind reports whether a position of the store is later, or a version of the
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -47,7 +47,7 @@
 }
 
 // inactivePollInterval is the time between two calls of Active while it is false.
-const inactivePollInterval = 100 * time.Millisecond
+const inactivePollInterval = 50 * time.Millisecond
 
 // Run follows the source until the context ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -56,6 +56,7 @@
 		if f.Copy.Loaded() && !f.Active() {
 			f.Copy.setWatching(false)
 			f.noteFollowedByOthers()
+			f.listed = true // The others complete the copy.
 			sleep(ctx, inactivePollInterval)
 			continue
 		}
@@ -106,7 +107,8 @@
 	}
 	v := &verifier{follower: f, eras: f.eras, cancel: cancel}
 	go v.run(watch)
-	after, _ := f.Copy.Position(time.Now())
+	started := time.Now()
+	after, _ := f.Copy.Position(started)
 	events, at, err := f.Source.Watch(watch, after, f.watchTimeout())
 	at = f.eras.translate(at)
 	cancel(nil)
@@ -136,13 +138,15 @@
 		return nil
 	}
 	if len(events) > 0 {
+		f.Copy.Confirm(at, started)
 		sleep(ctx, f.BatchDelay)
 	}
 	return nil
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	started, _ := f.Copy.Position(time.Now())
+	startedAt := time.Now()
+	started, _ := f.Copy.Position(startedAt)
 	items, at, err := f.Source.List(ctx)
 	if err != nil {
 		return errors.Trace(err)
@@ -157,6 +161,7 @@
 		f.OnRestored(before, at)
 	}
 	f.Copy.Replace("", items, at)
+	f.Copy.Confirm(at, startedAt)
 	f.listed = true
 	return nil
 }
@@ -206,10 +211,13 @@
 const deliveryTime = 150 * time.Millisecond
 
 // run cancels the watch if it misses changes, if the source does not respond, or
-// if this process should no longer watch.
+// if this process should no longer watch. The first comparison is made at once if the
+// last one was too long ago.
 func (v *verifier) run(ctx context.Context) {
+	pause := max(v.follower.VerifyInterval-v.follower.Copy.Age(time.Now()), 0)
 	for {
-		sleep(ctx, v.follower.VerifyInterval)
+		sleep(ctx, pause)
+		pause = v.follower.VerifyInterval
 		if ctx.Err() != nil {
 			return
 		}
@@ -217,6 +225,7 @@
 			v.cancel(errInactive)
 			return
 		}
+		started := time.Now()
 		now, err := v.follower.Source.Position(ctx)
 		if err != nil {
 			v.cancel(err)
@@ -232,6 +241,7 @@
 			v.cancel(nil)
 			return
 		}
+		v.follower.Copy.Confirm(now, started)
 	}
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -73,7 +73,10 @@
 	// watching is set while a Watch call waits. The TCP keep-alives of its
 	// connection prove that the source is reachable.
 	watching bool
-	notify   func(Batch)
+	// confirmedAt is the last time at which the copy is known to have held every
+	// change of the source.
+	confirmedAt time.Time
+	notify      func(Batch)
 	// log holds all changes of the era after the revision logFrom.
 	log     []Event
 	logFrom Revision
@@ -100,6 +103,24 @@
 	return c.at, now.Sub(c.respondedAt)
 }
 
+// Confirm records that the source had no change after a position at a time. It has
+// no effect if the copy has not reached the position.
+func (c *Copy) Confirm(at Position, when time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.at.Before(at) && when.After(c.confirmedAt) {
+		c.confirmedAt = when
+	}
+}
+
+// Age returns how long ago the copy is known to have held every change of the
+// source. It is very long if that has never been known.
+func (c *Copy) Age(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.confirmedAt)
+}
+
 // Loaded reports whether the copy has ever been filled.
 func (c *Copy) Loaded() bool {
 	c.mu.Lock()
--- a/internal/serve/changes.go
+++ b/internal/serve/changes.go
@@ -40,9 +40,11 @@
 	// Whole means that Packed holds a full copy and replaces Events.
 	Whole  bool
 	Packed []byte
-	// At and Era are the position that the receiver reaches with this reply.
+	// At and Era are the position that the receiver reaches with this reply. Age is
+	// the age of the sender's copy of the store, or 0 if it does not tell.
 	At  mirror.Revision
 	Era model.Era
+	Age time.Duration
 	// Desired is the desired state in force, as the store encoded it, for a caller
 	// that has an older one and does not fetch it apart.
 	Desired []byte
@@ -57,6 +59,7 @@
 // Changes is the RPC method that returns the changes after a position.
 func (s *State) Changes(args ChangesArgs, reply *Changes) error {
 	after := mirror.Position{Era: args.Era, Revision: args.After}
+	reply.Age = max(s.in.copy.Age(time.Now()), 1)
 	var at mirror.Position
 	var covered bool
 	if reply.Events, at, covered = s.in.copy.Since(after); !covered && after.Before(at) {
@@ -102,7 +105,8 @@
 // fetchChanges fetches the changes after the position of this instance's copy from
 // another instance. It reports whether there were any.
 func (in *Instance) fetchChanges(ctx context.Context, from model.InstanceID) bool {
-	before, _ := in.copy.Position(time.Now())
+	started := time.Now()
+	before, _ := in.copy.Position(started)
 	args := ChangesArgs{After: before.Revision, Era: before.Era, Desired: in.desiredVersion(), DesiredApart: true}
 	var c Changes
 	err := in.peers.Call(ctx, from, stateService+".Changes", args, &c)
@@ -113,6 +117,9 @@
 		in.fetchFailed(ctx, from, err)
 		return false
 	}
+	if c.Age > 0 {
+		in.copy.Confirm(mirror.Position{Era: c.Era, Revision: c.At}, started.Add(-c.Age))
+	}
 	at, _ := in.copy.Position(time.Now())
 	return before.Before(at)
 }
--- a/internal/serve/heartbeat.go
+++ b/internal/serve/heartbeat.go
@@ -194,7 +194,7 @@
 // not changed unless all loads are due.
 func (in *Instance) buildReport(g *groupReportState, group fleet.Group, alive bool, now time.Time) fleet.Report {
 	g.last = now
-	r := in.members.Report(group, in.presence())
+	r := in.members.Report(group, in.presence(), now)
 	if alive || now.Sub(g.lastAlive) >= fleet.HeartbeatInterval {
 		g.lastAlive = now
 	} else {
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -43,6 +43,7 @@
 	if m.Reply || newProcess {
 		in.sendFull([]fleet.Presence{p}, fleet.LoadUpdate{Loads: in.table.OwnLoads()}, false)
 	}
+	in.copy.Confirm(p.Position, now.Add(-p.CopyAge))
 	if in.behind(p.Position, p.Desired) {
 		in.requestCatchUp()
 	}
@@ -65,6 +66,7 @@
 	in.groupReportedMu.Lock()
 	in.groupReportedAt[id] = now
 	in.groupReportedMu.Unlock()
+	in.copy.Confirm(r.Position(), now.Add(-r.CopyAge()))
 	if in.behind(r.Position(), r.Desired) {
 		in.requestCatchUp()
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -189,11 +189,12 @@
 
 // presence returns the state that the instance reports of itself.
 func (in *Instance) presence() fleet.Presence {
-	at, age := in.copy.Position(time.Now())
+	now := time.Now()
+	at, age := in.copy.Position(now)
 	lost := in.storeLost.Load()
 	p := fleet.Presence{ID: in.settings.Instance, Incarnation: in.incarnation, Region: in.settings.Region,
 		Domain: in.settings.Domain, Peer: in.settings.Listen.Peer, Entry: in.settings.Listen.Requests,
-		Ready: in.ready(), Leaving: in.leaving.Load(), Position: at, Desired: in.desiredVersion(),
+		Ready: in.ready(), Leaving: in.leaving.Load(), Position: at, CopyAge: in.copy.Age(now), Desired: in.desiredVersion(),
 		StoreLost: lost, Watching: age == 0 && !lost, Settled: time.Since(in.started) > settledAfter}
 	return p
 }
--- a/internal/serve/sources.go
+++ b/internal/serve/sources.go
@@ -84,7 +84,7 @@
 		case <-f.now:
 		case <-time.After(catchUpInterval):
 		}
-		if _, age := in.copy.Position(time.Now()); age == 0 && !in.storeLost.Load() {
+		if in.watchWorks(time.Now()) {
 			select {
 			case <-ctx.Done():
 				return
@@ -102,6 +102,13 @@
 	}
 }
 
+// watchWorks reports whether this instance watches the store and knows that the
+// store responded to it a moment ago.
+func (in *Instance) watchWorks(now time.Time) bool {
+	_, sinceResponse := in.copy.Position(now)
+	return sinceResponse == 0 && !in.storeLost.Load() && in.copy.Age(now) < 2*verifyInterval
+}
+
 // sources returns the instances to ask, in order. While the copy is empty and no
 // other instance is known, it returns the seeds.
 func (in *Instance) sources(near, far []fleet.Presence, behindSince time.Time) []model.InstanceID {
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -20,7 +20,7 @@
 	watchTimeout = 25 * time.Second
 	// verifyInterval is the time between two checks that a watch has missed no
 	// change. Changes have to be in force 2.5 s after they were accepted.
-	verifyInterval = 800 * time.Millisecond
+	verifyInterval = 400 * time.Millisecond
 	// watchBatchDelay is the pause after changes, so that the next watch returns
 	// several changes at once.
 	watchBatchDelay = 100 * time.Millisecond
@@ -34,7 +34,7 @@
 	// shortOutage is the longest outage that needs no grace period, because no
 	// entry expires in it. It is above the time between two responses of a store
 	// that works.
-	shortOutage = verifyInterval + 200*time.Millisecond
+	shortOutage = verifyInterval + 300*time.Millisecond
 )
 
 // followStore keeps the copy of the store up to date while this instance is the
@@ -43,7 +43,7 @@
 	f := mirror.Follower{Copy: in.copy, Source: in.store, WatchTimeout: watchTimeout, VerifyInterval: verifyInterval, BatchDelay: watchBatchDelay,
 		RetryMin: storeRetryMin, RetryMax: storeRetryMax,
 		Active: func() bool {
-			return !in.leaving.Load() && in.members.ShouldWatch(time.Now())
+			return !in.leaving.Load() && in.shouldWatch()
 		},
 		OnUnavailable: func(err error) {
 			in.storeLost.Store(true)
@@ -66,6 +66,12 @@
 	f.Run(ctx)
 }
 
+// shouldWatch reports whether this instance should watch the store.
+func (in *Instance) shouldWatch() bool {
+	delay := scaledInterval(domainReportInterval, len(in.members.SameDomain()))
+	return in.members.ShouldWatch(in.presence(), delay, time.Now())
+}
+
 // startMissingGrace starts the grace period for missing endpoint entries, or
 // extends it, so that it lasts at least d from now.
 func (in *Instance) startMissingGrace(d time.Duration) {
--- a/internal/serve/watchers_test.go
+++ b/internal/serve/watchers_test.go
@@ -45,7 +45,9 @@
 			return code != 404 && code != 0
 		})
 	}
-	return time.Since(started)
+	took := time.Since(started)
+	c.t.Logf("%s is in force after %s", path, took)
+	return took
 }
 
 // Guards against a change that is in force too late after the store has fallen
