--- a/internal/events/catalogue_serve.go
+++ b/internal/events/catalogue_serve.go
@@ -19,7 +19,7 @@
 		"None."}
 	RequestRefused = Event{812, "request refused", zerolog.InfoLevel,
 		"A caller was told that its request has not run, and when to retry. The field reason says why.",
-		"overload or deadline: the service lacks capacity. shift-capped: other regions have capacity, but the shift cap holds requests back. no-endpoint: check the endpoint events."}
+		"overload or deadline: the service lacks capacity. shift-capped: other regions have capacity, but the shift cap holds requests back. no-endpoint: check the endpoint events. rate-limited: the endpoints left name rate limits (event 837)."}
 	RequestFailed = Event{813, "request failed", zerolog.WarnLevel,
 		"A caller got an error, and its request may have run. The field reason says why.",
 		"Follow the field endpoint in the log lines around this one."}
@@ -56,6 +56,9 @@
 	CrashReportFailed = Event{836, "crash report failed", zerolog.DebugLevel,
 		"A crash could not be reported to another instance. The next report repeats it.",
 		"None."}
+	EndpointRateLimited = Event{837, "endpoint rate limit changed", zerolog.InfoLevel,
+		"An endpoint has begun to name a rate limit for all instances together, has changed it or no longer names one. The field source says whether a response or another instance showed it.",
+		"Find out why the endpoint is in need. While it names a limit, one instance sends all of its requests."}
 	DomainEvacuated = Event{834, "failure domain evacuation changed", zerolog.InfoLevel,
 		"An operator has evacuated a failure domain or ended its evacuation, according to the field evacuated.",
 		"None."}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -132,6 +132,10 @@
 	// Load is the load that the endpoint reported, if HasLoad is set.
 	Load    Load
 	HasLoad bool
+	// RateLimit is the number of requests per second that the endpoint takes from all
+	// instances together, if HasRateLimit is set.
+	RateLimit    float64
+	HasRateLimit bool
 }
 
 // EndpointProtocol encodes and decodes the header fields of endpoints.
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -227,7 +227,10 @@
 	// Report is set if the message is a group report. The other fields except
 	// Relayed are then unset.
 	Report *Report
-	// Relayed means that the report was relayed and must not be relayed again.
+	// RateLimits is set if the message holds rate limits of endpoints. The other
+	// fields except Relayed are then unset.
+	RateLimits []steering.RateLimit
+	// Relayed means that the message was relayed and must not be relayed again.
 	Relayed bool
 	// Full means that the message is a full one: Presence and Reply are set.
 	Full     bool
@@ -283,6 +286,9 @@
 	case kindReport, kindRelayed:
 		r, err := decodeReport(b[1:])
 		return Message{Report: r, Relayed: b[0] == kindRelayed}, errors.Trace(err)
+	case kindLimits, kindRelayedLimits:
+		limits, err := decodeRateLimits(b[1:])
+		return Message{RateLimits: limits, Relayed: b[0] == kindRelayedLimits}, errors.Trace(err)
 	default:
 		return Message{}, errors.Errorf("message of unknown kind %d", b[0])
 	}
--- a/internal/fleetsim/endpoint.go
+++ b/internal/fleetsim/endpoint.go
@@ -28,6 +28,30 @@
 	queue             []job
 	// cache holds the cached objects, most recently used first.
 	cache []uint32
+	// rateLimit is the limit that the endpoint names since limitedSince, if it is
+	// positive. limitedArrivals are the times of the latest requests since
+	// limitSettleTime later.
+	rateLimit       float64
+	limitedSince    time.Duration
+	limitedArrivals []time.Duration
+}
+
+const (
+	limitWindow     = 4 * time.Second
+	limitSettleTime = 3 * time.Second
+)
+
+// countArrival counts a request at an endpoint that names a rate limit.
+func (e *endpoint) countArrival() {
+	now := e.sim.now
+	if e.rateLimit <= 0 || now < e.limitedSince+limitSettleTime {
+		return
+	}
+	e.limitedArrivals = append(e.limitedArrivals, now)
+	for now-e.limitedArrivals[0] >= limitWindow {
+		e.limitedArrivals = e.limitedArrivals[1:]
+	}
+	e.sim.result.MaxLimited = max(e.sim.result.MaxLimited, len(e.limitedArrivals))
 }
 
 type job struct {
@@ -36,6 +60,7 @@
 }
 
 func (e *endpoint) accept(object uint32, done func(outcome)) {
+	e.countArrival()
 	switch j := (job{object, done}); {
 	case e.failed:
 		done(unreachable)
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -50,6 +50,9 @@
 	// Naive sends each request to a random endpoint of the caller's region and
 	// never refuses a request at the instance.
 	Naive bool
+	// SeparateLimits makes each instance keep the rate limits of endpoints by itself,
+	// as far as its own responses name them.
+	SeparateLimits bool
 	// Events change endpoints during the run.
 	Events []Event
 }
@@ -65,6 +68,9 @@
 	// service time if it is not 0.
 	Fail       bool
 	SlowFactor float64
+	// RateLimit is the limit in requests per second that the endpoints name from now
+	// on, if it is not 0. A negative one ends the limit.
+	RateLimit float64
 }
 
 // Result counts the requests of a run by outcome. Requests that are answered
@@ -78,6 +84,10 @@
 	// MaxShift is the largest change, from one window of two seconds to the
 	// next, of the share of a region's requests that is sent to other regions.
 	MaxShift float64
+	// MaxLimited is the largest number of requests that reached an endpoint within
+	// limitWindow while it named a rate limit, from limitSettleTime after it first
+	// named the limit.
+	MaxLimited int
 	// windows counts requests by when they arrived, shifts the requests sent to
 	// an endpoint by the region of the caller and when they were sent. The
 	// windows of two seconds are numbered from 0.
@@ -197,6 +207,27 @@
 			state.instances = append(state.instances, in)
 		}
 	}
+	s.setOwners()
+}
+
+// setOwners tells the instances which of them may own endpoints: all, or each only
+// itself.
+func (s *sim) setOwners() {
+	var all []steering.Instance
+	for _, r := range s.cfg.Regions {
+		for _, in := range s.regions[r.Name].instances {
+			all = append(all, steering.Instance{ID: in.id, Region: in.region})
+		}
+	}
+	for _, r := range s.regions {
+		for _, in := range r.instances {
+			if s.cfg.SeparateLimits {
+				in.table.SetInstances([]steering.Instance{{ID: in.id, Region: in.region}})
+			} else {
+				in.table.SetInstances(all)
+			}
+		}
+	}
 }
 
 // scheduleArrival schedules the next request of a region's callers, which
@@ -232,6 +263,9 @@
 		if e.SlowFactor > 0 {
 			ep.serviceTimeFactor = e.SlowFactor
 		}
+		if e.RateLimit != 0 {
+			ep.rateLimit, ep.limitedSince, ep.limitedArrivals = e.RateLimit, s.now, nil
+		}
 		if e.Fail {
 			ep.fail()
 			for _, other := range s.regions {
@@ -253,11 +287,28 @@
 					to.table.RecordPlacements(placements)
 				}
 			}
+			s.shareRateLimits(from)
 		}
 	}
 	s.schedule(s.now+peerLoadInterval, s.sharePeerLoads)
 }
 
+// shareRateLimits tells all other instances what one knows of rate limits.
+func (s *sim) shareRateLimits(from *instance) {
+	if s.cfg.SeparateLimits {
+		return
+	}
+	now := s.simulatedTime()
+	limits := from.table.RateLimits(now)
+	for _, r := range s.regions {
+		for _, to := range r.instances {
+			if to != from {
+				to.table.MergeRateLimits(limits, now)
+			}
+		}
+	}
+}
+
 func (s *sim) shareRegionLoads() {
 	for name, r := range s.regions {
 		sum := steering.Loads{}
--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -27,6 +27,27 @@
 	}
 }
 
+// Guards against instances that exceed the rate limit of an endpoint together. The
+// naive variant, in which each instance keeps the limit by itself, does.
+func TestRateLimitIsKeptByAllInstancesTogether(t *testing.T) {
+	const allowed = int(1.5*limitedRate*4) + 5
+	for seed := range uint64(5) {
+		c := limitedEndpoints()
+		c.Seed = seed
+		separate := c
+		separate.SeparateLimits = true
+		shared, naive := Run(c), Run(separate)
+		t.Logf("seed %d: at most %d requests in %s, on time %.3f; naive %d, on time %.3f; %d allowed",
+			seed, shared.MaxLimited, limitWindow, shared.OnTimeShare(), naive.MaxLimited, naive.OnTimeShare(), allowed)
+		if shared.MaxLimited > allowed || shared.MaxLimited == 0 {
+			t.Errorf("seed %d: %d requests in %s at an endpoint with a limit of %d/s, want 1 to %d", seed, shared.MaxLimited, limitWindow, limitedRate, allowed)
+		}
+		if naive.MaxLimited <= allowed {
+			t.Errorf("seed %d: the naive variant keeps the limit with %d requests", seed, naive.MaxLimited)
+		}
+	}
+}
+
 // Guards against runs with the same seed that differ.
 func TestRunsRepeat(t *testing.T) {
 	a, b := Run(calm()), Run(calm())
--- a/internal/fleetsim/patterns.go
+++ b/internal/fleetsim/patterns.go
@@ -16,6 +16,7 @@
 	"lost endpoints":   lostEndpoints,
 	"lost region":      lostRegion,
 	"slow endpoints":   slowEndpoints,
+	"limited":          limitedEndpoints,
 }
 
 // PatternNames returns the names of the patterns in alphabetical order.
@@ -117,3 +118,15 @@
 		c.Regions[i].Rate = func(at time.Duration) float64 { return factor * rate(at) }
 	}
 }
+
+// limitedRate is the rate limit in limitedEndpoints, in requests per second.
+const limitedRate = 2
+
+// limitedEndpoints has a third of the endpoints of the largest region name a rate
+// limit that is a small part of what they usually take, and later none again.
+func limitedEndpoints() Config {
+	c := calm()
+	c.Events = []Event{{At: 8 * time.Second, Region: "large", Share: 0.3, RateLimit: limitedRate},
+		{At: 22 * time.Second, Region: "large", Share: 0.3, RateLimit: -1}}
+	return c
+}
--- a/internal/fleetsim/request.go
+++ b/internal/fleetsim/request.go
@@ -46,6 +46,9 @@
 					result = steering.Unreachable
 				}
 				in.table.Finish(s.simulatedTime(), choice.Pick, steering.Report{Result: result})
+				if o != unreachable {
+					in.table.RecordRateLimit(choice.Pick.ID, e.rateLimit, e.rateLimit > 0, s.simulatedTime())
+				}
 				q.finish(o)
 			})
 		})
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -285,6 +285,9 @@
 	if res.Fields.ColdFor > 0 {
 		e.cfg.Table.MarkCold(p.ID, res.Fields.ColdFor, now)
 	}
+	if e.cfg.OnRateLimit != nil && (res.Outcome == exchange.Answered || res.Outcome == exchange.NotRun && !res.Fields.Misdirected) {
+		e.cfg.OnRateLimit(p.ID, res.Fields.RateLimit, res.Fields.HasRateLimit)
+	}
 	if report.Result == steering.Unreachable || report.Result == steering.Misdirected {
 		e.cfg.OnUnreachable(p.Endpoint, res.Err)
 	}
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -10,6 +10,7 @@
 	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/exchange"
+	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/steering"
 )
 
@@ -36,6 +37,9 @@
 	// OnUnreachable is called if an endpoint cannot be reached or if its
 	// address belongs to another one.
 	OnUnreachable func(steering.Endpoint, error)
+	// OnRateLimit is called with the rate limit, in requests per second, in each
+	// response of an endpoint; named is false if it names none. It may be nil.
+	OnRateLimit func(id model.EndpointID, perSecond float64, named bool)
 	// Admission grants a slot in a region before an endpoint is chosen there.
 	// If it is nil, the table chooses the region.
 	Admission AdmissionController
--- a/internal/serve/heartbeat.go
+++ b/internal/serve/heartbeat.go
@@ -50,6 +50,8 @@
 	nextAllFull     time.Time
 	allFullInterval time.Duration
 	domain, region  groupReportState
+	// lastRateLimits is when this instance last sent the rate limits of endpoints.
+	lastRateLimits time.Time
 }
 
 // groupReportState is the state of this instance's reports on one group: its
@@ -84,6 +86,7 @@
 		in.sendFullBeyondDomain(&hb, now)
 		in.reportDomain(&hb.domain, len(domainPeers), urgent, now)
 		in.reportRegion(&hb.region, urgent, now)
+		in.sendRateLimits(&hb, now)
 	}
 }
 
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -23,6 +23,10 @@
 		in.handleReport(m)
 		return
 	}
+	if m.RateLimits != nil {
+		in.handleRateLimits(m)
+		return
+	}
 	now := time.Now()
 	p, newProcess := m.Presence, false
 	var changes []fleet.Change
@@ -40,6 +44,9 @@
 		in.queuePlacements(m.Update.Placements)
 	}
 	in.applyMemberChanges(changes)
+	if newProcess {
+		in.sendRateLimitsTo(p)
+	}
 	if m.Reply || newProcess {
 		in.sendFull([]fleet.Presence{p}, fleet.LoadUpdate{Loads: in.table.OwnLoads()}, false)
 	}
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -51,6 +51,9 @@
 	// capacity, and that the cap on traffic shifts keeps the request out of
 	// them.
 	ReasonShiftCapped Reason = "shift-capped"
+	// ReasonRateLimited means that all usable endpoints name rate limits, and that
+	// none of them takes a request of this instance now.
+	ReasonRateLimited Reason = "rate-limited"
 )
 
 // Pick is a chosen endpoint. The request counts towards its load until Finish,
@@ -194,11 +197,12 @@
 }
 
 // usable returns the endpoints that the request may use and that are neither
-// cold nor, unless ejected is set, ejected.
+// cold nor, unless ejected is set, ejected. It leaves out those whose rate limits
+// have no room.
 func (t *Table) usable(s *service, r Request, now time.Time, ejected bool) []*endpoint {
 	out := make([]*endpoint, 0, len(s.endpoints))
 	for _, e := range s.endpoints {
-		if t.allowed(e, r) && !e.isCold(now) && (ejected || !e.health.ejected(now)) {
+		if t.allowed(e, r) && !e.isCold(now) && (ejected || !e.health.ejected(now)) && t.hasToken(s, e, now) {
 			out = append(out, e)
 		}
 	}
@@ -379,21 +383,24 @@
 // request to a cold endpoint that this instance owns, within the endpoint's
 // cold rate.
 func (t *Table) chooseCold(s *service, r Request, now time.Time) Choice {
+	reason := ReasonNoEndpoint
 	for _, e := range s.endpoints {
-		if !t.allowed(e, r) || !e.isCold(now) || e.health.ejected(now) || !e.cold.ready(now) {
+		if !t.allowed(e, r) || e.health.ejected(now) {
 			continue
 		}
-		if !owns(t.cfg.Self, t.instances, e) {
+		if e.limit.named {
+			reason = ReasonRateLimited
+		}
+		if !e.isCold(now) || !t.hasToken(s, e, now) {
 			continue
 		}
 		c := t.evaluate(s, r, e, false, 0, now)
 		if s.admit(&c, r, now, false) != ReasonNone {
 			continue
 		}
-		e.cold.take(now, s.ColdRate)
 		return Choice{Pick: t.newPick(&c, nil, r, now)}
 	}
-	return Choice{Reason: ReasonNoEndpoint, RetryAfter: t.retryAfter(r)}
+	return Choice{Reason: reason, RetryAfter: t.retryAfter(r)}
 }
 
 // newPick counts the request towards the candidate's load and returns the
@@ -406,9 +413,12 @@
 	if r.Object != 0 {
 		t.recordPlacement(c.e, r.Object)
 	}
+	s := t.service(c.e.Service)
+	if _, bounded := c.e.toleratedRate(s, now); bounded {
+		c.e.bucket.taken = now
+	}
 	p := &Pick{Endpoint: c.e.Endpoint, Expected: time.Duration(c.expected), Warm: c.warm, Cold: c.e.isCold(now),
 		Load: c.load, e: c.e, processing: c.processing, rtt: c.rtt, object: r.Object, reuseDistance: c.reuseDistance, startedAt: now}
-	s := t.service(c.e.Service)
 	p.HedgeDelay = time.Duration(c.expected - c.processing + hedgeFactor*s.times.missTime*c.e.currentSlowdown(now))
 	if next != nil {
 		p.Next, p.NextExpected = next.e.ID, time.Duration(next.expected)
--- a/internal/steering/endpoint.go
+++ b/internal/steering/endpoint.go
@@ -67,7 +67,8 @@
 	excessAt time.Time
 
 	coldUntil time.Time
-	cold      coldBucket
+	limit     rateLimit
+	bucket    rateBucket
 	health    health
 	recent    recentList
 	// unexpectedMisses counts consecutive expected hits that took as long as
@@ -75,6 +76,8 @@
 	unexpectedMisses int
 	// addedAt is when the endpoint was added to the table.
 	addedAt time.Time
+	// restartedAt is when the endpoint was seen to have started again, or zero.
+	restartedAt time.Time
 	// nextWarmUp is the earliest time of the next warm-up request; see
 	// warm_up.go.
 	nextWarmUp time.Time
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -137,6 +137,7 @@
 		t.drop(old)
 		added := t.add(e, now)
 		added.setCold(t.service(e.Service).ColdStart, now)
+		added.restartedAt = now
 		return "restarted"
 	}
 	if old == nil {
