--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
+
+	"jujubestile.example/jujubestile/platform/standin"
 )
 
 // Violation is a guarantee that did not hold.
@@ -143,6 +146,7 @@
 		if !e.leaving.IsZero() && r.Sent.Sub(e.leaving) > drainBound {
 			out = append(out, Violation{"leaving", fmt.Sprintf("%s reached %s %s after it started leaving, via %s", r.ID, e.ID(), r.Sent.Sub(e.leaving), r.Instance.name)})
 		}
+		out = append(out, e.checkRateLimit(r)...)
 		if at := w.evacuated[e.domain]; !at.IsZero() && r.Sent.Sub(at) > evacuateBound {
 			out = append(out, Violation{"evacuation", fmt.Sprintf("%s reached %s in %s %s after its evacuation, via %s", r.ID, e.ID(), e.domain, r.Sent.Sub(at), r.Instance.name)})
 		}
@@ -156,6 +160,31 @@
 	return out
 }
 
+const (
+	// limitWindow is the span in which an endpoint with a rate limit may get
+	// limitOverage times what that allows and limitSlack requests.
+	limitWindow  = 4 * time.Second
+	limitOverage = 1.5
+	limitSlack   = 5
+)
+
+// checkRateLimit counts a request at an endpoint that has named a rate limit for
+// settleTime, and checks how many there were in the last limitWindow. The caller
+// holds the cluster's mu.
+func (e *Endpoint) checkRateLimit(r Request) []Violation {
+	if e.rateLimit == 0 || r.Sent.Sub(e.limitedSince) < settleTime {
+		return nil
+	}
+	e.limitedArrivals = append(e.limitedArrivals, r.Ended)
+	slices.SortFunc(e.limitedArrivals, time.Time.Compare)
+	allowed := int(limitOverage*e.rateLimit*limitWindow.Seconds()) + limitSlack
+	if n := standin.MaxArrivals(e.limitedArrivals, limitWindow); n > allowed {
+		return []Violation{{"rate limit", fmt.Sprintf("%s got %d requests in %s with a limit of %g/s, %d allowed, the last one %s via %s",
+			e.ID(), n, limitWindow, e.rateLimit, allowed, r.ID, r.Instance.name)}}
+	}
+	return nil
+}
+
 // checkRegion checks that a request ran only in regions that a desired state allows
 // that may have been in force since it was sent. The caller holds mu.
 func (w *Cluster) checkRegion(r Request) []Violation {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -100,6 +100,12 @@
 	// leaving is when the store acknowledged that the endpoint is leaving, or
 	// zero.
 	leaving time.Time
+	// rateLimit is the limit in requests per second that the endpoint names since
+	// limitedSince, or 0. limitedArrivals are the times of the requests that count
+	// towards it.
+	rateLimit       float64
+	limitedSince    time.Time
+	limitedArrivals []time.Time
 	// gone means that the entry has been removed from the store.
 	gone bool
 	// excluded endpoints are not selected for faults.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -64,6 +64,7 @@
 	"callers slow":     callerProxyFault(func(p *Proxy) { p.delay.Store(int64(60 * time.Millisecond)) }),
 	"settings":         changeSettings,
 	"store restored":   restoreStore,
+	"endpoint limits":  limitEndpoint,
 }
 
 // faultKinds lists the kinds in a fixed order, so that a seed determines the
@@ -79,10 +80,14 @@
 // restoreKinds have a stream of their own for the same reason.
 var restoreKinds = []string{"store restored"}
 
+// limitKinds have a stream of their own too.
+var limitKinds = []string{"endpoint limits"}
+
 // Schedule returns the random faults of a run. It depends only on its arguments.
 func Schedule(seed uint64, length time.Duration) []Fault {
 	out := append(drawFaults(seed, 7, faultKinds, 900, length), drawFaults(seed, 8, addedKinds, 2000, length)...)
-	return append(out, drawFaults(seed, 9, restoreKinds, 6000, length)...)
+	out = append(out, drawFaults(seed, 9, restoreKinds, 6000, length)...)
+	return append(out, drawFaults(seed, 10, limitKinds, 2500, length)...)
 }
 
 // drawFaults draws faults of the given kinds. The gap between two draws is 100 to
@@ -303,6 +308,32 @@
 	w.removeEndpoint(e)
 }
 
+// limitedTime is how long an endpoint names a rate limit, beyond the fault's
+// duration. It is longer than a settling time and a window of the check.
+const limitedTime = settleTime + limitWindow + time.Second
+
+// limitEndpoint makes an endpoint name a rate limit. If it names one already, the
+// higher one counts.
+func limitEndpoint(w *Cluster, f Fault) {
+	e := w.pickEndpoint(f)
+	if e == nil {
+		return
+	}
+	limit := 0.5 * float64(1+f.Index%8)
+	e.SetRateLimit(limit)
+	w.mu.Lock()
+	if e.rateLimit == 0 {
+		e.limitedSince, e.limitedArrivals = time.Now(), nil
+	}
+	e.rateLimit = max(e.rateLimit, limit)
+	w.mu.Unlock()
+	time.Sleep(limitedTime + f.Duration)
+	w.mu.Lock()
+	e.rateLimit = 0
+	w.mu.Unlock()
+	e.SetRateLimit(-1)
+}
+
 // crashEndpoint stops an endpoint without notice. Later its entry is removed and
 // a replacement starts.
 func crashEndpoint(w *Cluster, f Fault) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -245,6 +245,17 @@
 			t.Errorf("%s: %s, want %s", c.name, got, c.want)
 		}
 	}
+	w.Endpoints[0].leaving, w.evacuated = time.Time{}, nil
+	w.Endpoints[0].rateLimit, w.Endpoints[0].limitedSince = 1, old
+	for i := range 12 {
+		want := "[]"
+		if i == 11 { // 1.5 times 4 requests and 5 more are allowed.
+			want = "[rate limit]"
+		}
+		if got := fmt.Sprint(guarantees(w.checkBounds(r("good", "/pay/x", 200, "answer to good by e1", time.Duration(i)*100*time.Millisecond)))); got != want {
+			t.Errorf("request %d at an endpoint with a rate limit: %s, want %s", i+1, got, want)
+		}
+	}
 	w.Endpoints[0].otherService = true
 	if got := fmt.Sprint(guarantees(w.Check(nil))); got != "[right service]" {
 		t.Errorf("request run by another service: %s", got)
