--- a/internal/serve/sources.go
+++ b/internal/serve/sources.go
@@ -39,6 +39,8 @@
 type fetcher struct {
 	// now starts a round without waiting for catchUpInterval.
 	now chan struct{}
+	// empty reports whether this instance has no such data yet.
+	empty func() bool
 	// ahead reports whether another instance has newer data than self.
 	ahead func(other, self fleet.Presence) bool
 	// fetch fetches newer data from an instance. It reports whether there was any.
@@ -47,8 +49,10 @@
 
 func (in *Instance) newFetchers() []fetcher {
 	return []fetcher{
-		{make(chan struct{}, 1), func(o, self fleet.Presence) bool { return self.Position.Before(o.Position) }, in.fetchChanges},
-		{make(chan struct{}, 1), func(o, self fleet.Presence) bool { return self.Desired < o.Desired }, in.fetchDesired},
+		{now: make(chan struct{}, 1), fetch: in.fetchChanges, empty: func() bool { return !in.copy.Loaded() },
+			ahead: func(o, self fleet.Presence) bool { return self.Position.Before(o.Position) }},
+		{now: make(chan struct{}, 1), fetch: in.fetchDesired, empty: func() bool { return in.state.Load() == nil },
+			ahead: func(o, self fleet.Presence) bool { return self.Desired < o.Desired }},
 	}
 }
 
@@ -98,7 +102,7 @@
 		case behindSince.IsZero():
 			behindSince = time.Now()
 		}
-		in.fetchFromAny(ctx, in.sources(near, far, behindSince), f.fetch)
+		in.fetchFromAny(ctx, in.sources(near, far, f.empty(), behindSince), f.fetch)
 	}
 }
 
@@ -109,19 +113,19 @@
 	return sinceResponse == 0 && !in.storeLost.Load() && in.copy.Age(now) < 2*verifyInterval
 }
 
-// sources returns the instances to ask, in order. While the copy is empty and no
-// other instance is known, it returns the seeds.
-func (in *Instance) sources(near, far []fleet.Presence, behindSince time.Time) []model.InstanceID {
+// sources returns the instances to ask, in order. An instance that has nothing yet and
+// knows no other one asks the seeds.
+func (in *Instance) sources(near, far []fleet.Presence, empty bool, behindSince time.Time) []model.InstanceID {
 	var out []model.InstanceID
 	for _, p := range near {
 		out = append(out, p.ID)
 	}
-	if time.Since(behindSince) >= farFetchDelay || in.members.Represents(in.ownDomain()) || !in.copy.Loaded() {
+	if time.Since(behindSince) >= farFetchDelay || in.members.Represents(in.ownDomain()) || empty {
 		for _, p := range far {
 			out = append(out, p.ID)
 		}
 	}
-	if len(near)+len(far) == 0 && !in.copy.Loaded() {
+	if len(near)+len(far) == 0 && empty {
 		for _, s := range in.seeds() {
 			out = append(out, model.InstanceID(s.String()))
 		}
