--- a/internal/configsync/edit.go
+++ b/internal/configsync/edit.go
@@ -257,10 +257,9 @@
 // documents are on one branch and at least half of the relays respond, or more than
 // half if the store is recovering.
 func (e *Editor) catchUp(ctx context.Context, recovering bool) (Document, error) {
-	heads, queried := e.Relays.Heads(ctx)
-	n, total := e.countSelf(len(heads), queried)
-	if total == 0 || 2*n < total || recovering && 2*n == total {
-		return Document{}, errors.Errorf("only %d of %d relays answer", n, total)
+	heads, err := e.queryRelays(ctx, recovering)
+	if err != nil {
+		return Document{}, err
 	}
 	doc, err := newestOf(ctx, e.State.Document(), e.Relays, heads)
 	if errors.Is(err, errForkUnresolved) {
@@ -275,6 +274,25 @@
 	return e.State.Document(), nil
 }
 
+// maxRelayQueries limits how often the relays are queried because too few respond.
+// Relays that have just started respond once they have read the rules.
+const maxRelayQueries = 5
+
+// queryRelays returns the heads of at least half of the relays, or of more than half
+// if the store is recovering from a restore.
+func (e *Editor) queryRelays(ctx context.Context, recovering bool) ([]RelayHead, error) {
+	for failures := 0; ; failures++ {
+		heads, queried := e.Relays.Heads(ctx)
+		n, total := e.countSelf(len(heads), queried)
+		if total > 0 && 2*n >= total && (!recovering || 2*n > total) {
+			return heads, nil
+		}
+		if failures+1 == maxRelayQueries || e.wait(ctx, failures) != nil {
+			return nil, errors.Errorf("only %d of %d relays answer", n, total)
+		}
+	}
+}
+
 // countSelf takes the number of other relays that responded and that were
 // queried, and adds this instance to them if it is a relay.
 func (e *Editor) countSelf(responded, queried int) (int, int) {
