--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -288,13 +288,15 @@
 	isolationWindow = 30 * time.Second
 )
 
-// Instances returns self and all live instances that are not leaving, for the
-// routing table.
+// Instances returns self and all other instances that are not leaving, for the
+// routing table: the live ones, and those that the store lists but that are silent.
 func (m *Members) Instances(self steering.Instance) []steering.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	out := []steering.Instance{self}
-	for _, p := range m.Alive() {
-		if !p.Leaving {
-			out = append(out, steering.Instance{ID: p.ID, Region: p.Region})
+	for _, o := range m.members {
+		if !o.Leaving && (o.alive || o.listed) {
+			out = append(out, steering.Instance{ID: o.ID, Region: o.Region, Silent: !o.alive})
 		}
 	}
 	return out
--- a/internal/fleet/watchers_test.go
+++ b/internal/fleet/watchers_test.go
@@ -8,6 +8,8 @@
 	"pgregory.net/rapid"
 
 	"jujubestile.example/jujubestile/internal/mirror"
+	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/steering"
 )
 
 // Guards against an instance with a stale copy that does not ask the store in time,
@@ -103,3 +105,30 @@
 		t.Errorf("revision %d, age %s; want 9, 300ms", r.Revision, r.CopyAge())
 	}
 }
+
+// Guards against an owner of endpoints that does not know of silent instances, or that
+// still counts those that are leaving or no longer listed.
+func TestSilentInstancesAreNamed(t *testing.T) {
+	m := NewMembers("i0", "a", "a1")
+	leaving := presence(3, "a")
+	leaving.Leaving = true
+	for i, p := range []Presence{presence(1, "a"), presence(2, "a"), leaving} {
+		m.ReceiveFull(p, start.Add(time.Duration(i%2)*time.Minute)) // The second one stays alive.
+		m.SetListed(p, true)
+	}
+	m.Tick(start.Add(time.Minute))
+	named := func() map[model.InstanceID]bool {
+		out := map[model.InstanceID]bool{}
+		for _, in := range m.Instances(steering.Instance{ID: "i0", Region: "a"}) {
+			out[in.ID] = in.Silent
+		}
+		return out
+	}
+	if got := named(); len(got) != 3 || got["i0"] || !got["i1"] || got["i2"] {
+		t.Errorf("instances, and whether they are silent: %v", got)
+	}
+	m.SetListed(presence(1, "a"), false)
+	if got := named(); len(got) != 2 {
+		t.Errorf("instances once one is no longer listed: %v", got)
+	}
+}
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -133,6 +133,11 @@
 		in.log.Log(event).Str("other", string(c.ID)).Str("domain", string(c.Domain)).
 			Uint64("incarnation", uint64(c.Incarnation)).Send()
 	}
+	in.updateInstances()
+}
+
+// updateInstances passes the other instances on to the routing table.
+func (in *Instance) updateInstances() {
 	self := steering.Instance{ID: in.settings.Instance, Region: in.settings.Region}
 	in.table.SetInstances(in.members.Instances(self))
 }
@@ -149,8 +154,7 @@
 // have stayed missing, applies what was deferred after a restore of the store, and
 // closes idle connections.
 func (in *Instance) maintain(ctx context.Context) {
-	self := steering.Instance{ID: in.settings.Instance, Region: in.settings.Region}
-	in.table.SetInstances(in.members.Instances(self))
+	in.updateInstances()
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
 	swept := time.Now()
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -174,6 +174,9 @@
 	}
 	p := fleet.Presence{ID: id, Region: a.Region, Domain: a.Domain, Peer: a.Peer, Entry: a.Entry}
 	in.members.SetListed(p, !c.Deleted)
+	if c.Deleted {
+		in.updateInstances()
+	}
 	if !c.Deleted && id != in.settings.Instance && a.Domain == in.settings.Domain {
 		in.sendFull([]fleet.Presence{p}, fleet.LoadUpdate{}, true)
 	}
--- a/internal/steering/choose_test.go
+++ b/internal/steering/choose_test.go
@@ -23,7 +23,7 @@
 func newTable() *Table {
 	t := New(Config{Self: "i1", Domain: "a1", Region: "a", Regions: regions, MaxShift: 0.15, Rand: rand.New(rand.NewPCG(1, 2))})
 	t.SetServices(map[model.Service]desired.Service{"s": {Name: "s", ColdRate: 2, ColdStart: 3 * time.Second, HealthPath: "/health"}})
-	t.SetInstances([]Instance{{"i1", "a"}})
+	t.SetInstances([]Instance{{ID: "i1", Region: "a"}})
 	return t
 }
 
--- a/internal/steering/cold_test.go
+++ b/internal/steering/cold_test.go
@@ -17,7 +17,7 @@
 	const instances = 8
 	var members []Instance
 	for i := range instances {
-		members = append(members, Instance{model.InstanceID(fmt.Sprint("i", i)), "a"})
+		members = append(members, Instance{ID: model.InstanceID(fmt.Sprint("i", i)), Region: "a"})
 	}
 	sent := 0
 	senders := map[int]bool{}
--- a/internal/steering/rates.go
+++ b/internal/steering/rates.go
@@ -13,10 +13,12 @@
 // few requests per second from all instances together. One instance of its region
 // owns it and sends all of them, so the rate is shared without messages. While an
 // instance joins or fails, instances may disagree on the owner; ownerShare leaves
-// room for that.
+// room for that. If the region is cut into parts, each part has an owner. An owner
+// therefore uses the less, the more silent instances would come before it: one in
+// each other part may be sending too.
 
-// ownerShare is the part of the tolerated rate that the owner uses. Two owners
-// at the same time stay below 1.5 times the rate.
+// ownerShare is the part of the tolerated rate that the owner uses. Two owners at the
+// same time stay below 1.5 times the rate, and so do those of four parts.
 const ownerShare = 0.7
 
 // minTrialRate is the lowest rate, in requests per second, of requests to an endpoint
@@ -65,7 +67,11 @@
 // hasToken reports whether the endpoint tolerates a request of this instance now.
 func (t *Table) hasToken(s *service, e *endpoint, now time.Time) bool {
 	rate, bounded := e.toleratedRate(s, now)
-	return !bounded || e.bucket.ready(now, rate) && owns(t.cfg.Self, t.instances, e)
+	if !bounded {
+		return true
+	}
+	owner, silent := ownership(t.cfg.Self, t.instances, e)
+	return owner && e.bucket.ready(now, rate/float64(1+silent))
 }
 
 // RateLimit is what is known of the rate limit of an endpoint.
@@ -156,27 +162,53 @@
 type Instance struct {
 	ID     model.InstanceID
 	Region model.Region
+	// Silent instances are listed but send no messages. They have failed or are cut
+	// off, and in the latter case may hold themselves for the owner.
+	Silent bool
 }
 
 // owns reports whether self has the highest rendezvous hash for the endpoint
-// among the instances of the endpoint's region, or among all instances if the
-// region has none.
+// among the instances of the endpoint's region that are not silent, or among all
+// such instances if the region has none.
 func owns(self model.InstanceID, instances []Instance, e *endpoint) bool {
+	owner, _ := ownership(self, instances, e)
+	return owner
+}
+
+// ownership reports whether self owns the endpoint, see owns, and how many silent
+// instances of the same region have a higher hash.
+func ownership(self model.InstanceID, instances []Instance, e *endpoint) (owner bool, silent int) {
 	var best model.InstanceID
-	var bestWeight uint64
+	var bestWeight, own uint64
 	local := false
 	for _, in := range instances {
 		inRegion := in.Region == e.Region
-		if local && !inRegion {
+		if in.Silent || local && !inRegion {
 			continue
 		}
-		w := mixHashes(e.hash, xxhash.Sum64String(string(in.ID)))
+		w := e.weight(in.ID)
+		if in.ID == self {
+			own = w
+		}
 		if (inRegion && !local) || best == "" || w > bestWeight {
 			best, bestWeight = in.ID, w
 			local = local || inRegion
 		}
 	}
-	return best == self
+	if best != self {
+		return false, 0
+	}
+	for _, in := range instances {
+		if in.Silent && in.Region == e.Region && e.weight(in.ID) > own {
+			silent++
+		}
+	}
+	return true, silent
+}
+
+// weight returns the rendezvous hash of an instance for the endpoint.
+func (e *endpoint) weight(id model.InstanceID) uint64 {
+	return mixHashes(e.hash, xxhash.Sum64String(string(id)))
 }
 
 // mixHashes combines two hashes into a well-distributed one, with the
--- a/internal/steering/rates_test.go
+++ b/internal/steering/rates_test.go
@@ -27,7 +27,7 @@
 func newLimitedFleet(n int) *limitedFleet {
 	f := &limitedFleet{tables: map[model.InstanceID]*Table{}, now: epoch, named: true}
 	for i := range n {
-		f.members = append(f.members, Instance{model.InstanceID(fmt.Sprint("i", i)), "a"})
+		f.members = append(f.members, Instance{ID: model.InstanceID(fmt.Sprint("i", i)), Region: "a"})
 	}
 	for i := range n {
 		f.restart(i)
@@ -133,6 +133,38 @@
 	})
 }
 
+// Guards against a region that is cut into parts, in each of which an instance owns the
+// endpoint, and against an owner that still sends little once the parts are joined.
+func TestRateLimitIsKeptInACutRegion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const instances = 12
+		f := newLimitedFleet(instances)
+		f.limit = rapid.Float64Range(0.5, 6).Draw(t, "limit")
+		f.run(time.Second)
+		f.share()
+		part := rapid.SliceOfN(rapid.IntRange(0, 3), instances, instances).Draw(t, "parts")
+		cutAt := f.now
+		for i, in := range f.members {
+			seen := append([]Instance{}, f.members...)
+			for j := range seen {
+				seen[j].Silent = part[j] != part[i]
+			}
+			f.tables[in.ID].SetInstances(seen)
+		}
+		f.run(12 * time.Second)
+		if most, allowed := f.maxArrivals(cutAt), int(1.5*f.limit*4)+5; most > allowed {
+			t.Fatalf("%d requests in 4 s with a limit of %.2f/s, %d allowed", most, f.limit, allowed)
+		}
+		for _, in := range f.members {
+			f.tables[in.ID].SetInstances(f.members)
+		}
+		f.run(8 * time.Second)
+		if n, want := f.maxArrivals(f.now.Add(-4*time.Second)), int(ownerShare*f.limit*4)-1; n < want {
+			t.Fatalf("%d requests in 4 s after the parts are joined, want %d", n, want)
+		}
+	})
+}
+
 // Guards against a changed limit that takes effect only after the pause of the one
 // before, and against one that is kept after its end.
 func TestRateLimitChangesAndEnds(t *testing.T) {
--- a/internal/steering/recent_objects_test.go
+++ b/internal/steering/recent_objects_test.go
@@ -12,7 +12,7 @@
 // A new endpoint joins a service whose objects are all cached elsewhere: it
 // must get some requests, one at a time and from one instance only.
 func TestNewEndpointIsWarmedUp(t *testing.T) {
-	members := []Instance{{"i1", "a"}, {"i2", "a"}, {"i3", "a"}}
+	members := []Instance{{ID: "i1", Region: "a"}, {ID: "i2", Region: "a"}, {ID: "i3", Region: "a"}}
 	senders, sent := 0, 0
 	for _, m := range members {
 		tb := New(Config{Self: m.ID, Domain: "a1", Region: "a", Regions: regions, MaxShift: 0.15, Rand: rand.New(rand.NewPCG(1, 2))})
