--- a/internal/serve/large_state_test.go
+++ b/internal/serve/large_state_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -12,12 +11,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/time/rate"
 
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/peer"
+	"jujubestile.example/jujubestile/platform/standin"
 )
 
 const (
@@ -31,25 +30,15 @@
 
 // encodedState returns an encoded desired state with that many routes. The routes
 // of a state with fewer of them are the first ones of one with more.
-func encodedState(t *testing.T, version, routes int) []byte {
-	t.Helper()
+func encodedState(version, count int) []byte {
 	rnd := rand.New(rand.NewPCG(1, 2))
 	name := func() string { return fmt.Sprintf("%07x", rnd.Uint32N(1<<28)) }
-	rows := make([][]any, 0, routes)
-	for range routes {
-		rows = append(rows, []any{"r-" + name(), name()[:3] + ".example", "/" + name() + "/" + name() + "/", "safe", "3000ms", "400ms", 1, "s", 2, true, []string{}, nil})
-	}
-	b, err := json.Marshal(map[string]any{
-		"configVersion": fmt.Sprintf("%08x", version),
-		"routes": map[string]any{"columns": []string{"name", "host", "pathPrefix", "type", "timeout", "targetLatency", "priority",
-			"service", "maxAttempts", "sessionAffinity", "allowedRegions", "trafficSplit"}, "rows": rows},
-		"services": map[string]any{"columns": []string{"name", "healthPath", "maxConnections", "coldStart", "coldPerS"},
-			"rows": [][]any{{"s", "/health", 700, "1s", 5}}},
-	})
-	if err != nil {
-		t.Fatal(err)
+	var routes []standin.Route
+	for range count {
+		routes = append(routes, standin.Route{Name: "r-" + name(), Host: name()[:3] + ".example", Prefix: "/" + name() + "/" + name() + "/", Repeatable: true,
+			Service: "s", Timeout: 3 * time.Second, Target: 400 * time.Millisecond})
 	}
-	return b
+	return standin.EncodeDesiredState(version, 5, []string{"s"}, routes)
 }
 
 // encodedEndpoint returns the encoded entry of an endpoint.
@@ -57,41 +46,6 @@
 	return fmt.Appendf(nil, `{"address":"127.0.0.1:1","info":{"service":"s","zone":"a1","capacity":4},"status":{"state":%q}}`, state)
 }
 
-// slowConn is a connection over a link that all connections of an instance share.
-type slowConn struct {
-	net.Conn
-	link *rate.Limiter
-}
-
-func (c slowConn) Write(b []byte) (int, error) {
-	sent := 0
-	for sent < len(b) {
-		n := min(len(b)-sent, c.link.Burst())
-		if err := c.link.WaitN(context.Background(), n); err != nil {
-			return sent, err
-		}
-		written, err := c.Conn.Write(b[sent : sent+n])
-		sent += written
-		if err != nil {
-			return sent, err
-		}
-	}
-	return sent, nil
-}
-
-type slowListener struct {
-	net.Listener
-	link *rate.Limiter
-}
-
-func (l slowListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return slowConn{c, l.link}, nil
-}
-
 // linkedInstances returns instances that fetch changes from each other over slow
 // links, with a copy that holds the given items at a position. They do not call the
 // store.
@@ -114,7 +68,7 @@
 		if err := srv.Register(stateService, &State{in}); err != nil {
 			t.Fatal(err)
 		}
-		go func() { _ = srv.Serve(slowListener{ln, rate.NewLimiter(linkBytesPerSecond, 16<<10)}) }()
+		go func() { _ = srv.Serve(standin.NewSlowListener(ln, linkBytesPerSecond)) }()
 		t.Cleanup(srv.Close)
 		go in.catchUp(ctx)
 		out = append(out, in)
@@ -144,7 +98,7 @@
 // region fetched a state of thousands of routes from the one that watches the
 // store, whose link could not carry that, and the endpoint's change waited for it.
 func TestChangesBesideALargeDesiredStateAreInTime(t *testing.T) {
-	items := []mirror.Item{{Key: "op/config", Value: encodedState(t, 1, 2822), Revision: 1},
+	items := []mirror.Item{{Key: "op/config", Value: encodedState(1, 2822), Revision: 1},
 		{Key: "servers/e", Value: encodedEndpoint("ready"), Revision: 2}}
 	instances := linkedInstances(t, regionInstances, items, mirror.Position{Revision: 2})
 	watcher := instances[0]
@@ -153,7 +107,7 @@
 		return time.Now()
 	}
 	exchangePresences(instances)
-	stateAt := change("op/config", encodedState(t, 2, 4222), 3)
+	stateAt := change("op/config", encodedState(2, 4222), 3)
 	exchangePresences(instances)
 	time.Sleep(200 * time.Millisecond)
 	leavingAt := change("servers/e", encodedEndpoint("draining"), 4)
@@ -163,7 +117,7 @@
 	})
 	awaitAll(t, instances, stateAt.Add(inForceBound), "version 2 is in force", func(in *Instance) bool { return in.desiredVersion() == 2 })
 
-	stateAt = change("op/config", encodedState(t, 3, 4223), 5)
+	stateAt = change("op/config", encodedState(3, 4223), 5)
 	awaitAll(t, instances, stateAt.Add(inForceBound), "version 3 is in force", func(in *Instance) bool { return in.desiredVersion() == 3 })
 	for _, in := range instances {
 		if m := in.state.Load().Routes(); m != 4223 {
