--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -81,8 +81,9 @@
 	groupReportedAt map[model.InstanceID]time.Time
 	// placements queues the placements made by instances of this failure
 	// domain, for this instance's next report on the domain.
-	placementsMu  sync.Mutex
-	placements    []steering.Placement
+	placementsMu sync.Mutex
+	placements   []steering.Placement
+	// fetchers fetch from other instances what these have and this one lacks.
 	fetchers      []fetcher
 	failedSources failedSources
 	counters      counters
