review: a case starts no process once it ends

Cause: a timer or the guard of the memory could start a process while the case ended the others. None was seen to be left. Change: the stand-in of the platform starts nothing after its close.

--- a/review/play/platform.go
+++ b/review/play/platform.go
@@ -46,6 +46,8 @@
 	mu     sync.Mutex
 	record *os.File
 	procs  map[int]*exec.Cmd
+	// closed means that no process may be started any more.
+	closed bool
 }
 
 // newPlatform creates the record in the folder of the case and a store.
@@ -69,6 +71,7 @@
 // close ends all processes that were started and removes the temporary folder.
 func (p *platform) close() {
 	p.mu.Lock()
+	p.closed = true
 	for _, c := range p.procs {
 		_ = c.Process.Kill()
 	}
@@ -98,10 +101,17 @@
 	c := exec.Command(name, args...)
 	c.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, env...)
 	c.Stdout, c.Stderr = out, out
-	cannotRun(c.Start())
 	p.mu.Lock()
-	p.procs[c.Process.Pid] = c
+	if p.closed {
+		p.mu.Unlock()
+		select {} // The program is about to end.
+	}
+	err := c.Start()
+	if err == nil {
+		p.procs[c.Process.Pid] = c
+	}
 	p.mu.Unlock()
+	cannotRun(err)
 	done := make(chan struct{})
 	go func() {
 		_ = c.Wait()
