--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -12,7 +12,8 @@
 // cases maps the folders of the cases to their checks. A check returns whether the rule
 // was broken.
 var cases = map[string]func(rec *recorder, trouble bool) (broken bool, err error){
-	"ends": endsCase,
+	"ends":   endsCase,
+	"memory": memoryCase,
 }
 
 func main() {
