--- a/review/stand2/ends.go
+++ b/review/stand2/ends.go
@@ -3,7 +3,12 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -22,11 +27,13 @@
 	minPause, pauseRange = 550 * time.Millisecond, 100 * time.Millisecond
 	// heatsDeadline is the deadline of heats-view, in the site file.
 	heatsDeadline = 1200 * time.Millisecond
+	// payDeadline is that of entry-pay, and stableWindow the bound of that name.
+	payDeadline, stableWindow = 1500 * time.Millisecond, 3 * time.Second
 )
 
-// endsCase checks the rule on faults: no two machines' processes end by themselves three
-// times each. Callers send small GET requests on new connections. With the disruption
-// they pause in the middle of the header section.
+// endsCase checks that no more entries get lost at a machine than the rule LOST allows,
+// and records how often processes end by themselves. Callers send small GET requests on
+// new connections. With the disruption they pause in the middle of the header section.
 func endsCase(rec *recorder, trouble bool) (bool, error) {
 	s, err := newStage(rec)
 	if err != nil {
@@ -42,9 +49,21 @@
 		defer e.Close()
 		s.store.PutEndpoint(e, e.Addr(), false, 0)
 	}
-	routes := []standin.Route{{Name: "heats-view", Host: host, Prefix: "/heats/", Repeatable: true, Service: "heatsvc", Timeout: heatsDeadline,
-		Target: 200 * time.Millisecond}}
-	s.store.PutState(standin.WithLimits(standin.EncodeDesiredState(1, 12, []string{"heatsvc"}, routes), headerBytes, bodyBytes))
+	var entries []*standin.Endpoint
+	for i := range 12 {
+		e, err := standin.StartEndpoint(standin.EndpointConfig{ID: fmt.Sprint("entry-", i), Service: "entrysvc", Domain: "lag-ikeja", Slots: 3,
+			Queue: 9, ServiceTime: 312 * time.Millisecond})
+		if err != nil {
+			return false, err
+		}
+		defer e.Close()
+		s.store.PutEndpoint(e, e.Addr(), false, 0)
+		entries = append(entries, e)
+	}
+	routes := []standin.Route{{Name: "entry-pay", Host: host, Prefix: "/pay/", Service: "entrysvc", Timeout: payDeadline, Target: 250 * time.Millisecond},
+		{Name: "heats-view", Host: host, Prefix: "/heats/", Repeatable: true, Service: "heatsvc", Timeout: heatsDeadline,
+			Target: 200 * time.Millisecond}}
+	s.store.PutState(standin.WithLimits(standin.EncodeDesiredState(1, 12, []string{"heatsvc", "entrysvc"}, routes), headerBytes, bodyBytes))
 	supervisors, err := s.startMachines(2, machine{206, 2870, 0.224, 700}, map[string]any{"grace": "6s", "retry_ratio": 0.2, "retry_slack": 120,
 		"retry_window": "10s", "max_shift": 0.15}, 0)
 	if err != nil {
@@ -73,10 +92,17 @@
 			})
 		}
 	}
-	broken := s.awaitEnds(supervisors, &crowd, &ordinary)
+	lost := lostEntries{ids: map[string][]string{}}
+	for _, v := range supervisors {
+		for c := range 12 {
+			wg.Go(func() { lost.pay(stop, v, fmt.Sprintf("%s-p%d", v.in.name, c)) })
+		}
+	}
+	fault := s.awaitEnds(supervisors, &crowd, &ordinary, lost.enough)
 	close(stop)
 	wg.Wait()
-	return broken, nil
+	rec.printf("the rule on faults is broken, too: %v", fault)
+	return lost.broken(rec, entries), nil
 }
 
 // getRequests returns a function that returns requests in two parts.
@@ -103,3 +129,107 @@
 		}
 	}
 }
+
+// lostEntries are the requests of entry-pay that got no answer although they were sent on
+// a kept channel to a process that had run for longer than stableWindow.
+type lostEntries struct {
+	mu       sync.Mutex
+	answered int
+	// ids has the requests by machine.
+	ids map[string][]string
+}
+
+// enough reports whether so many requests of a machine were lost that backends have
+// probably run more of them than the rule allows.
+func (l *lostEntries) enough() bool {
+	const many = 60
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, ids := range l.ids {
+		if len(ids) >= many {
+			return true
+		}
+	}
+	return false
+}
+
+// pay sends requests one after the other on kept channels until stop is closed. It plays
+// a caller that keeps to the pages: it waits for its deadline and for Retry-After, and
+// does not send a request again.
+func (l *lostEntries) pay(stop <-chan struct{}, v *supervisor, name string) {
+	const interval = 100 * time.Millisecond
+	for n := 0; ; {
+		select {
+		case <-stop:
+			return
+		case <-time.After(interval):
+		}
+		conn, err := net.DialTimeout("tcp", v.in.requests, time.Second)
+		if err != nil {
+			continue
+		}
+		in := bufio.NewReader(conn)
+		for kept := false; ; kept = true {
+			id := fmt.Sprintf("%s-%d", name, n)
+			n++
+			inTouch := time.Since(v.in.startedAt()) > stableWindow
+			end := time.Now().Add(payDeadline)
+			_ = conn.SetDeadline(end)
+			fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 4\r\n\r\nbody",
+				host, id, payDeadline.Milliseconds())
+			resp, err := http.ReadResponse(in, nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			if err != nil {
+				if kept && inTouch && time.Now().Before(end) {
+					l.mu.Lock()
+					l.ids[v.in.name] = append(l.ids[v.in.name], id)
+					l.mu.Unlock()
+				}
+				break
+			}
+			if resp.StatusCode == http.StatusOK {
+				l.mu.Lock()
+				l.answered++
+				l.mu.Unlock()
+			}
+			after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			time.Sleep(max(interval, time.Duration(after*float64(time.Second))))
+			if resp.Close {
+				break
+			}
+			select {
+			case <-stop:
+				_ = conn.Close()
+				return
+			default:
+			}
+		}
+		_ = conn.Close()
+	}
+}
+
+// lostAllowed is how many requests of a machine the rule allows to be lost.
+const lostAllowed = 3
+
+// broken records the lost requests that an endpoint has run. It reports whether there are
+// more at a machine than the rule allows.
+func (l *lostEntries) broken(rec *recorder, entries []*standin.Endpoint) bool {
+	broken := false
+	rec.printf("entries on kept channels: answered %d", l.answered)
+	for machine, ids := range l.ids {
+		ran := 0
+		for _, id := range ids {
+			for _, e := range entries {
+				if e.Ran(id) {
+					ran++
+					rec.printf("entry %s ran at %s, and its kept channel ended without an answer", id, e.ID())
+				}
+			}
+		}
+		rec.printf("%s: %d entries on kept channels ended without an answer, of which a backend ran %d; %d are allowed", machine, len(ids), ran, lostAllowed)
+		broken = broken || ran > lostAllowed
+	}
+	return broken
+}
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -56,6 +56,7 @@
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	waitErr error
+	started time.Time
 }
 
 // stage holds what a case has started.
@@ -141,7 +142,7 @@
 	}
 	exited := make(chan struct{})
 	in.mu.Lock()
-	in.cmd, in.exited = cmd, exited
+	in.cmd, in.exited, in.started = cmd, exited, time.Now()
 	in.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
@@ -166,12 +167,6 @@
 	<-exited
 }
 
-func (in *instance) signal(sig syscall.Signal) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	_ = in.cmd.Process.Signal(sig)
-}
-
 // running reports whether the process runs.
 func (in *instance) running() bool {
 	in.mu.Lock()
@@ -220,6 +215,13 @@
 	return fmt.Errorf("%w: %s is not ready", errCannotRun, in.name)
 }
 
+// startedAt returns when the last process was started.
+func (in *instance) startedAt() time.Time {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.started
+}
+
 // exitError returns the result of the process that has ended.
 func (in *instance) exitError() error {
 	in.mu.Lock()
--- a/review/stand2/memory.go
+++ b/review/stand2/memory.go
@@ -65,33 +65,35 @@
 	rec.printf("%d callers, header sections of %d bytes, at most %d are allowed; they leave after %v: %v", alertCallers, len(header)+150, headerBytes, stay, trouble)
 	broken := true
 	for _, v := range supervisors {
-		broken = s.attack(v, header, trouble) && broken
+		broken = s.attack(v, alertCallers, func(crowd *tally, name string, _ <-chan struct{}) {
+			request := fmt.Sprintf("POST /alerts/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%sContent-Length: 4\r\n\r\nbody",
+				host, name, alertDeadline.Milliseconds(), header)
+			if trouble {
+				crowd.leaveAfter(v.in.requests, request, stay)
+			} else {
+				time.Sleep(crowd.call(v.in.requests, request, 0, "", alertDeadline))
+			}
+		}) && broken
 	}
 	return broken, nil
 }
 
-// attack sends the crowd to one machine. It reports whether the process has exceeded the
-// memory of the machine three times.
-func (s *stage) attack(v *supervisor, header string, leave bool) bool {
+// attack sends a crowd of n callers to one machine. It reports whether the process has
+// exceeded the memory of the machine three times.
+func (s *stage) attack(v *supervisor, n int, call func(crowd *tally, name string, stop <-chan struct{})) bool {
 	var crowd tally
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	wg.Go(func() { v.run(stop) })
-	for c := range alertCallers {
+	for c := range n {
 		wg.Go(func() {
-			for n := 0; ; n++ {
+			for k := 0; ; k++ {
 				select {
 				case <-stop:
 					return
 				default:
 				}
-				request := fmt.Sprintf("POST /alerts/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s-%d-%d\r\nX-Deadline-Ms: %d\r\n%sContent-Length: 4\r\n\r\nbody",
-					host, v.in.name, c, n, alertDeadline.Milliseconds(), header)
-				if leave {
-					crowd.leaveAfter(v.in.requests, request, stay)
-				} else {
-					time.Sleep(crowd.call(v.in.requests, request, 0, "", alertDeadline))
-				}
+				call(&crowd, fmt.Sprintf("%s-%d-%d", v.in.name, c, k), stop)
 			}
 		})
 	}
@@ -101,6 +103,7 @@
 	}
 	close(stop)
 	wg.Wait()
-	s.rec.printf("%s: exceeded its memory %d times, at most %d MB resident", v.in.name, v.over.Load(), v.most.Load())
+	s.rec.printf("%s: exceeded its memory %d times, its processes ended by themselves %d times in all, at most %d MB resident", v.in.name, v.over.Load(),
+		v.ends.Load(), v.most.Load())
 	return v.over.Load() >= endsToBreak
 }
--- a/review/stand2/supervisor.go
+++ b/review/stand2/supervisor.go
@@ -175,15 +175,16 @@
 }
 
 // awaitEnds waits until the processes of all machines have ended by themselves often
-// enough to break the rule, which it reports, or until the time is over.
-func (s *stage) awaitEnds(supervisors []*supervisor, crowd, ordinary *tally) bool {
+// enough to break the rule on faults and done reports true, or until the time is over. It
+// reports whether that rule is broken.
+func (s *stage) awaitEnds(supervisors []*supervisor, crowd, ordinary *tally, done func() bool) bool {
 	const step = time.Second
 	for end := time.Now().Add(caseTime); time.Now().Before(end); time.Sleep(step) {
 		enough := true
 		for _, v := range supervisors {
 			enough = enough && v.ends.Load() >= endsToBreak
 		}
-		if enough {
+		if enough && done() {
 			break
 		}
 	}
