exchange: a crash within a round trip is a crash

Cause: a reused connection that ended within a round trip counted as closed while idle. The round trip was the time it had taken to open that connection. On a busy machine that is longer than an endpoint needs to read a request and crash, so the crash was not reported.

Change: such an end counts as broken if the endpoint's host had acknowledged the whole request, which it does not if it closed the connection before.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -300,9 +300,10 @@
 	c.pending = nil
 	c.closed = true
 	c.mu.Unlock()
+	delivered := w != nil && c.delivered(w)
 	_ = c.Close()
 	c.pool.remove(c)
 	if w != nil {
-		w.done <- Result{Outcome: Unknown, Err: err}
+		w.done <- Result{Outcome: Unknown, Err: err, Delivered: delivered}
 	}
 }
--- a/internal/exchange/delivery.go
+++ b/internal/exchange/delivery.go
@@ -46,6 +46,26 @@
 	}
 }
 
+// delivered reports whether the endpoint's host has acknowledged the whole request, as
+// far as is known now.
+func (c *conn) delivered(w *pendingExchange) bool {
+	select {
+	case <-w.written:
+	default:
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || w.writeErr != nil {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false // It is closed.
+	}
+	left, err := unacknowledged(raw)
+	return err == nil && left == 0
+}
+
 // unacknowledged returns the number of bytes that were written to a socket and that
 // its peer has not acknowledged, or the error of the socket.
 func unacknowledged(raw syscall.RawConn) (left int, err error) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -87,6 +87,9 @@
 	Fields  ResponseFields
 	// Err is the reason if there is no response.
 	Err error
+	// Delivered means that the endpoint's host had acknowledged the whole request when
+	// the connection ended without a response.
+	Delivered bool
 	// Reused means that the connection had been used for an earlier request.
 	Reused bool
 	// DialTime is the time it took to open a new connection, or 0 if none was
@@ -99,10 +102,12 @@
 
 // ConnectionBroken reports whether the endpoint ended the connection before its
 // response was complete, as in a crash. took is the duration of the exchange. If
-// a reused connection ends within less than a round trip, the endpoint closed it
-// while idle, before it received the request; that does not count.
+// a reused connection ends within less than a round trip, and its endpoint has not
+// acknowledged the request, the endpoint closed it while idle; that does not count.
+// The time alone does not show that: opening a connection can take longer than an
+// endpoint needs to crash.
 func (r Result) ConnectionBroken(took time.Duration) bool {
-	if r.Outcome != Unknown || r.Reused && took < r.RoundTrip {
+	if r.Outcome != Unknown || r.Reused && took < r.RoundTrip && !r.Delivered {
 		return false
 	}
 	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
