serve: dial an endpoint again if connections break again

Cause: a broken connection counts as a crash once the endpoint refuses a connection. It was dialled three times after the first broken connection, and not at all for others within the 3 s that this one waited for a confirmation. An endpoint that drops a response and crashes a second later was not noticed.

Change: each broken request waits for a confirmation of its own, and the endpoint is dialled again if a connection has broken since.

--- a/internal/serve/crashes.go
+++ b/internal/serve/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,7 +32,7 @@
 // crashDialDelays are the delays before each attempt to connect. There are
 // several attempts because a process that exits closes its sockets one after the
 // other, so that its listener may outlive a broken connection.
-var crashDialDelays = []time.Duration{20 * time.Millisecond, 200 * time.Millisecond, 800 * time.Millisecond}
+var crashDialDelays = []time.Duration{20 * time.Millisecond, 200 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond}
 
 // crashDetector confirms crashes before it reports them to the quarantine. It
 // implements forward.Quarantine.
@@ -45,16 +46,22 @@
 	mayServe atomic.Bool
 
 	mu sync.Mutex
-	// unconfirmed holds, by endpoint, the requests whose connections broke and
-	// whose crash is not confirmed yet.
+	// unconfirmed holds, by endpoint, the requests whose connections broke within
+	// crashConfirmWindow, and whose crash is not confirmed.
 	unconfirmed map[model.EndpointID]*unconfirmedCrash
 }
 
-// unconfirmedCrash lists the requests of an endpoint whose connections broke, by
-// their fingerprints, and when to give up on a confirmation.
+// unconfirmedCrash is an endpoint with broken connections.
 type unconfirmedCrash struct {
-	fingerprints []uint64
-	until        time.Time
+	requests []brokenRequest
+	// dialling is set while confirmByDialing runs.
+	dialling bool
+}
+
+// brokenRequest is a request whose connection broke, by its fingerprint.
+type brokenRequest struct {
+	fingerprint uint64
+	at          time.Time
 }
 
 func newCrashDetector(in *Instance) *crashDetector {
@@ -83,36 +90,62 @@
 		c.quarantine.Finished(fp, id, false)
 		return
 	}
+	if c.recordBroken(fp, id, time.Now()) {
+		go c.confirmByDialing(id)
+	}
+}
+
+// recordBroken adds a request whose connection broke to those that wait for a
+// confirmation. It reports whether the caller has to run confirmByDialing.
+func (c *crashDetector) recordBroken(fp uint64, id model.EndpointID, now time.Time) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	u := c.unconfirmed[id]
-	first := u == nil
-	if first {
-		u = &unconfirmedCrash{until: time.Now().Add(crashConfirmWindow)}
+	if u == nil {
+		u = &unconfirmedCrash{}
 		c.unconfirmed[id] = u
 	}
-	u.fingerprints = append(u.fingerprints, fp)
-	c.mu.Unlock()
-	if first {
-		go c.confirmByDialing(id)
-	}
+	u.requests = append(u.requests, brokenRequest{fp, now})
+	start := !u.dialling
+	u.dialling = true
+	return start
 }
 
-// confirmByDialing confirms the crash of an endpoint that accepts no connection.
+// confirmByDialing confirms the crash of an endpoint that accepts no connection. It
+// starts again if another connection has broken meanwhile: an endpoint may drop a
+// response and crash shortly after.
 func (c *crashDetector) confirmByDialing(id model.EndpointID) {
 	d := exchange.Dialer{Timeout: crashDialTimeout, UserTimeout: crashDialTimeout}
-	for _, pause := range crashDialDelays {
-		time.Sleep(pause)
-		e, ok := c.in.table.Lookup(id)
-		if !ok {
-			break
-		}
-		conn, err := d.Dial(context.Background(), e.Addr.String())
-		if err != nil {
-			c.endpointEnded(id)
-			return
+	for again := true; again; {
+		started := time.Now()
+		for _, pause := range crashDialDelays {
+			time.Sleep(pause)
+			e, ok := c.in.table.Lookup(id)
+			if !ok {
+				break
+			}
+			conn, err := d.Dial(context.Background(), e.Addr.String())
+			if err != nil {
+				c.endpointEnded(id)
+				return
+			}
+			_ = conn.Close()
 		}
-		_ = conn.Close()
+		again = c.brokenSince(id, started)
+	}
+}
+
+// brokenSince reports whether a connection to an endpoint has broken since a time. If
+// not, the endpoint is no longer dialled.
+func (c *crashDetector) brokenSince(id model.EndpointID, at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := c.unconfirmed[id]
+	if u == nil {
+		return false
 	}
+	u.dialling = slices.ContainsFunc(u.requests, func(r brokenRequest) bool { return r.at.After(at) })
+	return u.dialling
 }
 
 // endpointEnded records that an endpoint has exited or restarted. This confirms a
@@ -125,24 +158,27 @@
 	if u == nil {
 		return
 	}
-	for _, fp := range u.fingerprints {
-		c.quarantine.Finished(fp, id, true)
+	for _, r := range u.requests {
+		c.quarantine.Finished(r.fingerprint, id, true)
 	}
-	c.in.log.Log(events.EndpointCrashed).Str("endpoint", string(id)).Int("requests", len(u.fingerprints)).Send()
+	c.in.log.Log(events.EndpointCrashed).Str("endpoint", string(id)).Int("requests", len(u.requests)).Send()
 	go c.sendReports()
 }
 
-// expire drops unconfirmed crashes whose confirmation window has passed.
+// expire drops broken connections whose confirmation window has passed.
 func (c *crashDetector) expire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, u := range c.unconfirmed {
-		if now.Before(u.until) {
-			continue
-		}
-		delete(c.unconfirmed, id)
-		for _, fp := range u.fingerprints {
-			c.quarantine.Cancelled(fp, id)
+		u.requests = slices.DeleteFunc(u.requests, func(r brokenRequest) bool {
+			old := now.Sub(r.at) > crashConfirmWindow
+			if old {
+				c.quarantine.Cancelled(r.fingerprint, id)
+			}
+			return old
+		})
+		if len(u.requests) == 0 && !u.dialling {
+			delete(c.unconfirmed, id)
 		}
 	}
 }
