serve: a new process asks for crash reports until another one answers

Cause: a new process stopped asking for the reports of others after 1 s, or when the copy of the store had a revision but its records were not applied yet, and then counted as informed. When it saw a crash it told the others, who knew of the earlier ones, and learned nothing from them. Calls ended after 500 ms and were not repeated.

Change: a new process asks listed instances and seeds until one that is informed answers, or all of them answer that they are new; requests are served after 200 ms as before. It compares its reports when it sees a crash. Reports that are not confirmed are sent again, up to three times.

--- a/internal/serve/crash_reports.go
+++ b/internal/serve/crash_reports.go
@@ -15,26 +15,39 @@
 
 // Crash reports are sent to all instances after a crash. A new process fetches them
 // before it serves requests, because the requests that crash endpoints keep coming
-// back. Each instance regularly compares its reports with those of another one, which
-// makes up for a report that did not arrive. Reports carry their age.
+// back, and goes on asking if no instance answers at first. Each instance regularly
+// compares its reports with those of another one, which makes up for a report that did
+// not arrive, and does so at once after a crash that it has seen. Reports carry their
+// age.
 
 const (
-	// crashReportTimeout bounds one call.
-	crashReportTimeout = 500 * time.Millisecond
+	// crashReportTimeout bounds one call. It allows for opening a connection to an
+	// instance that is slow at the moment.
+	crashReportTimeout = 2 * time.Second
 	// crashReportCalls is how many instances are told of a crash at a time.
 	crashReportCalls = 16
 	// crashCompareInterval is the time between two comparisons. One costs about 100
 	// bytes if the reports are the same, and 40 bytes a report otherwise.
 	crashCompareInterval = 5 * time.Second
-	// crashFetchLimit bounds the time for which a new process asks for crash reports.
-	crashFetchLimit = time.Second
+	// crashFetchLimit bounds the time for which a new process asks before it counts as
+	// informed without an answer.
+	crashFetchLimit = 30 * time.Second
 	// crashGateLimit bounds the time for which a new process serves no requests because
 	// no instance has told it the crash reports. Live ones answer within a round trip.
 	// When all instances start together, calls to those that are not up yet time out,
 	// and callers would wait for that.
 	crashGateLimit = 200 * time.Millisecond
-	// crashFetchInterval is the time between two rounds of asking at the start.
-	crashFetchInterval = 50 * time.Millisecond
+	// crashFetchInterval and crashFetchMaxInterval are the first and the longest time
+	// between two rounds of asking at the start.
+	crashFetchInterval    = 50 * time.Millisecond
+	crashFetchMaxInterval = time.Second
+	// crashCompareTries is how many instances are asked for one comparison if they do
+	// not answer.
+	crashCompareTries = 3
+	// crashSendTries is how often a report is sent to an instance that does not confirm
+	// it, crashSendInterval the time between two tries.
+	crashSendTries    = 3
+	crashSendInterval = 500 * time.Millisecond
 )
 
 // CrashesArgs carries encoded crash reports, see quarantine.Quarantine.Merge.
@@ -51,13 +64,30 @@
 	Informed bool
 }
 
-// sendReports sends all crash reports to each live instance. The reports are few:
-// they cover the requests in flight at endpoints that crashed recently.
-func (c *crashDetector) sendReports() {
+// shareReports sends all crash reports to each live instance, and takes over those that
+// another one has: a process that has seen a crash may lack the reports of earlier ones.
+func (c *crashDetector) shareReports() {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { c.compare(context.Background()) })
+	to := c.in.members.Alive()
+	for try := 0; len(to) > 0 && try < crashSendTries; try++ {
+		if try > 0 {
+			time.Sleep(crashSendInterval)
+		}
+		to = c.sendReports(to)
+	}
+}
+
+// sendReports sends all crash reports to instances, and returns those that have not
+// confirmed them. The reports are few: they cover the requests in flight at endpoints
+// that crashed recently.
+func (c *crashDetector) sendReports(to []fleet.Presence) (failed []fleet.Presence) {
 	args := CrashesArgs{c.quarantine.News(nil)}
+	var mu sync.Mutex
 	var wg sync.WaitGroup
 	free := make(chan struct{}, crashReportCalls)
-	for _, p := range c.in.members.Alive() {
+	for _, p := range to {
 		free <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-free }()
@@ -65,10 +95,25 @@
 			defer cancel()
 			if err := c.in.peers.Call(ctx, p.ID, stateService+".Crashes", args, &struct{}{}); err != nil {
 				c.in.log.Log(events.CrashReportFailed).Str("to", string(p.ID)).Err(err).Send()
+				mu.Lock()
+				failed = append(failed, p)
+				mu.Unlock()
 			}
 		})
 	}
 	wg.Wait()
+	return failed
+}
+
+// compare takes over the crash reports that another instance has and this one lacks.
+func (c *crashDetector) compare(ctx context.Context) {
+	alive := c.in.members.Alive()
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	for _, p := range alive[:min(len(alive), crashCompareTries)] {
+		if _, informed := c.fetchReports(ctx, p.ID); informed {
+			return
+		}
+	}
 }
 
 // Crashes is the RPC method that merges the crash reports of another instance.
@@ -117,15 +162,14 @@
 			return
 		case <-ticker.C:
 		}
-		if alive := c.in.members.Alive(); len(alive) > 0 {
-			c.fetchReports(ctx, alive[rand.IntN(len(alive))].ID)
-		}
+		c.compare(ctx)
 	}
 }
 
 // fetchAtStart fetches the crash reports of an instance that is not new itself. It ends
-// without them if those that respond are new, which means that all instances start
-// together, if there is no other instance, and in any case after crashFetchLimit.
+// without them if all those that it asks respond and are new, which means that all
+// instances start together, if there is no other instance, and in any case after
+// crashFetchLimit. Requests are served from crashGateLimit on.
 func (c *crashDetector) fetchAtStart(ctx context.Context) {
 	gate := time.AfterFunc(crashGateLimit, func() { c.mayServe.Store(true) })
 	defer func() {
@@ -135,23 +179,23 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, crashFetchLimit)
 	defer cancel()
-	for ctx.Err() == nil {
-		if c.in.copy.Loaded() && c.in.members.Count() == 0 {
-			return
-		}
-		if c.askAll(ctx, c.startSources()) {
+	for pause := crashFetchInterval; ctx.Err() == nil; pause = min(2*pause, crashFetchMaxInterval) {
+		storeRead := c.storeRead.Load() // Before the sources are looked up.
+		sources := c.startSources()
+		if storeRead && len(sources) == 0 || len(sources) > 0 && c.askAll(ctx, sources, storeRead) {
 			return
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(crashFetchInterval):
+		case <-time.After(pause):
 		}
 	}
 }
 
 // askAll asks instances for their crash reports. It returns true once one of them that
-// is not new has responded, or when all calls have ended and a new one has responded.
-func (c *crashDetector) askAll(ctx context.Context, sources []model.InstanceID) bool {
+// is not new has responded, or when all have responded and are new. Seeds that do not
+// respond do not count if the store lists no other instance.
+func (c *crashDetector) askAll(ctx context.Context, sources []model.InstanceID, storeRead bool) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type result struct{ responded, informed bool }
@@ -162,15 +206,17 @@
 			results <- result{responded, informed}
 		}()
 	}
-	any := false
+	responded := 0
 	for range sources {
 		r := <-results
 		if r.informed {
 			return true
 		}
-		any = any || r.responded
+		if r.responded {
+			responded++
+		}
 	}
-	return any
+	return responded == len(sources) || storeRead && c.in.members.Count() == 0
 }
 
 // startSources returns instances that a new process can ask: those that are alive,
--- a/internal/serve/crashes.go
+++ b/internal/serve/crashes.go
@@ -40,8 +40,8 @@
 	in         *Instance
 	quarantine *quarantine.Quarantine
 	// informed is set once the instance has the crash reports of others, or there are
-	// none to be had.
-	informed atomic.Bool
+	// none to be had. storeRead is set once the instances that the store lists are known.
+	informed, storeRead atomic.Bool
 	// mayServe is set once requests are served, at the latest after crashGateLimit.
 	mayServe atomic.Bool
 
@@ -162,7 +162,7 @@
 		c.quarantine.Finished(r.fingerprint, id, true)
 	}
 	c.in.log.Log(events.EndpointCrashed).Str("endpoint", string(id)).Int("requests", len(u.requests)).Send()
-	go c.sendReports()
+	go c.shareReports()
 }
 
 // expire drops broken connections whose confirmation window has passed.
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -96,6 +96,7 @@
 			in.restoreRecentObjects(c)
 		}
 	}
+	in.crashes.storeRead.Store(true)
 }
 
 // applyEndpoint updates the routing table from a change of an endpoint's entry.
