forward: see the end of a connection behind any number of pipelined requests

Cause: while a request ran, an instance read at most 128 KB ahead. The end of a connection is behind all bytes that the caller has sent, so with more than that and the kernels' buffers it was seen only after the request.

Change: beyond 128 KB, bytes are read and discarded while a request runs that has been received whole. The connection then ends with the answer.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -33,7 +34,10 @@
 	// maxReadAhead bounds the bytes that are read before net/http requests them.
 	// While a request is handled, up to maxPipelined bytes are read as far as they
 	// fit into the budget: callers pipeline several requests of the largest header
-	// section, and only reading shows everywhere that they have left.
+	// section, and only reading shows everywhere that they have left. Beyond
+	// maxPipelined bytes are read and discarded, and the connection ends with the
+	// answer: the end of the connection may wait in the caller's kernel behind them.
+	// The caller sends the requests that were not answered again.
 	maxReadAhead = 16 << 10
 	maxPipelined = 128 << 10
 	// freeReadAhead is the part of the bytes read ahead that is not charged,
@@ -75,18 +79,21 @@
 	moved atomic.Int64
 	// served is set once a request has been received.
 	served atomic.Bool
-	// paused is set while bytes are left unread.
-	paused atomic.Bool
+	// paused is set while bytes are left unread, whole once the request that is handled
+	// has been received completely, until it is answered.
+	paused, whole atomic.Bool
 
 	mu   sync.Mutex
 	cond *sync.Cond
 	buf  byteQueue
-	// err is the error that ended reading.
-	err      error
-	deadline time.Time
-	timer    *time.Timer
-	cancel   context.CancelCauseFunc
-	closed   bool
+	// err is the error that ended reading. discarding means that all further bytes are
+	// read without being held, and that the connection ends with the next answer.
+	err        error
+	discarding bool
+	deadline   time.Time
+	timer      *time.Timer
+	cancel     context.CancelCauseFunc
+	closed     bool
 	// charges are the bytes charged for header sections, by class, and aheadCharge
 	// those for bytes read ahead. headerBytes counts the bytes of a header section.
 	charges     [2]int64
@@ -146,7 +153,7 @@
 	for {
 		n, err := a.Conn.Read(chunk)
 		a.mu.Lock()
-		if !a.closed {
+		if !a.closed && !a.discarding {
 			a.buf.push(chunk[:n])
 		}
 		if err != nil && a.err == nil {
@@ -177,15 +184,28 @@
 		}
 		wake := time.AfterFunc(departureInterval, a.wake)
 		a.cond.Wait()
-		if !wake.Stop() && a.err == nil && !a.mayReadAhead() && hasLeft(a.Conn) {
+		if wake.Stop() || a.err != nil || a.mayReadAhead() {
+			continue
+		}
+		if hasLeft(a.Conn) {
 			a.err = errCallerLeft
 			a.dropBuffer()
 			a.cond.Broadcast()
+		} else if a.whole.Load() && a.buf.len() >= maxPipelined {
+			a.discarding = true
+			a.dropBuffer()
 		}
 	}
 	a.paused.Store(false)
 }
 
+// endsWithAnswer reports whether the connection is to be closed after the answer.
+func (a *guardedConn) endsWithAnswer() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.discarding
+}
+
 // resume ends the phase in which a body is received.
 func (a *guardedConn) resume() {
 	a.mu.Lock()
@@ -201,6 +221,9 @@
 // mayReadAhead reports whether another piece may be read, and charges the bytes that
 // are held already.
 func (a *guardedConn) mayReadAhead() bool {
+	if a.discarding {
+		return true
+	}
 	over := int64(max(a.buf.len()-freeReadAhead, 0))
 	if over > a.aheadCharge {
 		n := over - a.aheadCharge
@@ -252,6 +275,9 @@
 		if a.err != nil {
 			return 0, a.err
 		}
+		if a.discarding && !a.whole.Load() {
+			return 0, io.EOF // The next request has been discarded.
+		}
 		a.cond.Wait()
 	}
 }
--- a/internal/forward/conn_header.go
+++ b/internal/forward/conn_header.go
@@ -102,6 +102,10 @@
 	a.releaseHeader()
 	a.buf.release()
 	a.enter(phaseIdle)
+	a.whole.Store(false)
+	if a.discarding {
+		a.cond.Broadcast()
+	}
 	a.mu.Unlock()
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -119,6 +119,7 @@
 		return
 	}
 	read := time.Now()
+	conn.whole.Store(true)
 	answer := h.Do(r.Context(), req)
 	h.finish(conn, w, req, answer)
 	if answer.Response != nil && answer.Response.Status < http.StatusInternalServerError && answer.LastPick != nil {
@@ -225,6 +226,9 @@
 // finish records the answer and sends it.
 func (h *Handler) finish(conn *guardedConn, w http.ResponseWriter, req *Request, a Answer) {
 	h.Record(req, a, time.Since(req.Arrived))
+	if conn.endsWithAnswer() {
+		w.Header().Set("Connection", "close")
+	}
 	switch {
 	case a.CallerGone:
 		// Closes the connection without an answer.
