exchange: reset the connection of an abandoned request

Cause: a cancelled exchange closed its connection in order, so the kernel went on delivering bytes that were held up by a small window or a partition. A request whose caller had left while its connection was taken or opened was still written; if it was cancelled while the connection was opened, its endpoint counted as unreachable.

Change: an abandoned connection is reset. The context is checked before the request is written, and such an attempt counts as not started.

--- /dev/null
+++ b/internal/exchange/abandoned_test.go
@@ -0,0 +1,84 @@
+package exchange_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/exchange"
+	"jujubestile.example/jujubestile/platform"
+)
+
+const errCallerLeft = errors.ConstError("the caller has left")
+
+// Guards against a request that reaches its endpoint after its caller has left, because
+// its bytes were held up on the way: by a small window here, by a partition elsewhere.
+func TestAbandonedRequestDoesNotArriveLater(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+			accepted <- c
+		}
+	}()
+	client := exchange.New(exchange.Default(), platform.EndpointHeaders{})
+	const size = 96 << 10
+	ctx, cancel := context.WithCancelCause(context.Background())
+	time.AfterFunc(200*time.Millisecond, func() { cancel(errCallerLeft) })
+	res := client.Do(ctx, exchange.Target{ID: "e", Addr: netip.MustParseAddrPort(ln.Addr().String())},
+		&exchange.Call{Method: http.MethodPost, Target: "/", Host: "h", ID: "r1", Body: make([]byte, size), Deadline: time.Now().Add(5 * time.Second)})
+	if res.Outcome != exchange.Abandoned || !errors.Is(res.Err, errCallerLeft) {
+		t.Fatalf("%v, %v", res.Outcome, res.Err)
+	}
+	c := <-accepted
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := io.Copy(io.Discard, c); n >= size {
+		t.Errorf("the endpoint got %d bytes, %v, after the request had been given up", n, err)
+	}
+}
+
+// Guards against a caller that leaves while a connection is opened: its request is sent,
+// or its endpoint counts as unreachable.
+func TestCallerLeavesBeforeTheRequestIsSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	got := make(chan int64, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_ = c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		n, _ := io.Copy(io.Discard, c)
+		got <- n
+	}()
+	client := exchange.New(exchange.Default(), platform.EndpointHeaders{})
+	ctx, cancel := context.WithCancelCause(context.Background())
+	call := &exchange.Call{Method: http.MethodGet, Target: "/", Host: "h", ID: "r1", Deadline: time.Now().Add(5 * time.Second)}
+	to := exchange.Target{ID: "e", Addr: netip.MustParseAddrPort(ln.Addr().String())}
+	client.Do(context.Background(), to, &exchange.Call{Deadline: time.Now(), Permitted: func() bool { return false }})
+	cancel(errCallerLeft)
+	if res := client.Do(ctx, to, call); res.Outcome != exchange.NotSent || !errors.Is(res.Err, errCallerLeft) {
+		t.Errorf("%v, %v", res.Outcome, res.Err)
+	}
+	if n := <-got; n != 0 {
+		t.Errorf("%d bytes were sent", n)
+	}
+}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -76,7 +76,7 @@
 		c.finish(res, w)
 		return res
 	case <-ctx.Done():
-		c.discard()
+		c.abort()
 		return Result{Outcome: Abandoned, Err: context.Cause(ctx)}
 	}
 }
@@ -179,6 +179,16 @@
 	c.pool.remove(c)
 }
 
+// abort discards the connection and resets it, so that bytes of the request which have
+// not reached the endpoint never do. The kernel would deliver them after an orderly
+// close, however late, and the endpoint would run a request that nobody waits for.
+func (c *conn) abort() {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0) // Fails only on a closed connection.
+	}
+	c.discard()
+}
+
 // readLoop reads responses until the connection ends or the endpoint announces
 // that it closes it.
 func (c *conn) readLoop() {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -266,7 +266,8 @@
 }
 
 // Do sends the call to the endpoint and waits for the response. If the context
-// ends first, Do closes the connection.
+// ends first, Do resets the connection, or does not send the call. The error is the
+// cause of the context then.
 func (c *Client) Do(ctx context.Context, to Target, call *Call) Result {
 	size := call.bodyBytes()
 	p := c.pool(to.ID)
@@ -276,6 +277,12 @@
 	defer p.inFlight.Add(-size)
 	for {
 		conn, dial, err := c.acquire(ctx, to, call)
+		if ctx.Err() != nil {
+			if err == nil {
+				conn.pool.putBack(conn)
+			}
+			return Result{Outcome: NotSent, Err: context.Cause(ctx), DialTime: dial}
+		}
 		if err != nil {
 			return Result{Outcome: NotSent, Err: err, DialTime: dial}
 		}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -339,7 +339,7 @@
 		switch {
 		case errors.Is(res.Err, exchange.ErrTooManyConns), errors.Is(res.Err, exchange.ErrTooManyBytes):
 			return steering.Shed
-		case errors.Is(res.Err, exchange.ErrNotPermitted):
+		case errors.Is(res.Err, exchange.ErrNotPermitted), errors.Is(res.Err, errNotNeeded), errors.Is(res.Err, errPreempted):
 			return steering.NotStarted
 		}
 		return steering.Unreachable
