exchange: reject what is not a response at its first wrong byte

Cause: net/http accepts names with a blank as other names, bare line feeds, continued lines, and encodings in HTTP/1.0 as fields without a meaning. Only the status line had a check of its own.

Change: httpstrict.Reader checks each byte of a head before net/http parses it: status 100 to 599, names of tokens, no control bytes, CR LF, no continued lines, not both a length and an encoding, at most 256 fields.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -12,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/httpstrict"
 )
 
 // conn is one connection to an endpoint. At most one exchange uses it at a
@@ -192,11 +193,9 @@
 // readLoop reads responses until the connection ends or the endpoint announces
 // that it closes it.
 func (c *conn) readLoop() {
-	limiter := &headLimiter{Reader: c.Conn}
-	br := bufio.NewReaderSize(limiter, 4<<10)
+	responses := httpstrict.NewReader(c.Conn, maxHeadBytes)
 	for skipped := 0; ; {
-		limiter.startHead()
-		if _, err := br.Peek(1); err != nil {
+		if err := responses.Await(); err != nil {
 			c.fail(err)
 			return
 		}
@@ -206,7 +205,7 @@
 			c.fail(errUnsolicited)
 			return
 		}
-		res, err := c.read(br, limiter, w)
+		res, err := c.read(responses, w)
 		if err != nil {
 			c.fail(err)
 			return
@@ -236,12 +235,8 @@
 
 // read reads one response. The result is nil for an interim response and for one
 // that belongs to an earlier request.
-func (c *conn) read(br *bufio.Reader, limiter *headLimiter, w *pendingExchange) (*Result, error) {
-	if err := checkStatusLine(br); err != nil {
-		return nil, errors.Trace(err)
-	}
-	resp, err := http.ReadResponse(br, w.req)
-	limiter.endHead()
+func (c *conn) read(responses *httpstrict.Reader, w *pendingExchange) (*Result, error) {
+	resp, err := responses.Read(w.req)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -250,12 +245,9 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return nil, errSwitchedProtocols
 	}
-	if resp.StatusCode >= minInterimStatus && resp.StatusCode < minStatus {
+	if resp.StatusCode < minStatus {
 		return nil, nil // An interim response.
 	}
-	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
-		return nil, errors.Errorf("invalid response status %d", resp.StatusCode)
-	}
 	if c.pool.client.cfg.RequireFraming && unframed(resp, w.req.Method) {
 		return nil, errUnframed
 	}
@@ -278,7 +270,7 @@
 			return nil, errors.Annotate(err, "response without a length")
 		}
 	}
-	if resp.Close || br.Buffered() > 0 {
+	if resp.Close || responses.Buffered() > 0 {
 		// Data after the response belongs to no request.
 		res.Header.Set("Connection", "close")
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -251,9 +251,9 @@
 	// maxResponseBytes bounds the size of a response body, which is kept in
 	// memory.
 	maxResponseBytes = 8 << 20
-	// minStatus and maxStatus bound the status codes of final responses. Interim
-	// responses have codes from minInterimStatus.
-	minInterimStatus, minStatus, maxStatus = 100, 200, 599
+	// minStatus is the lowest status code of a final response. Those of interim
+	// responses are below.
+	minStatus = 200
 )
 
 // Target is an endpoint and its address.
