--- a/client/client.go
+++ b/client/client.go
@@ -1,7 +1,7 @@
 // Package client is the client library for callers of jujubestile. It selects an
 // entry instance, generates idempotency keys, and retries a request only if that
 // cannot make it run twice or if the request is repeatable. It uses only the
-// standard library.
+// standard library and a package of this module.
 package client
 
 import (
@@ -19,6 +19,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"jujubestile.example/jujubestile/internal/httpstrict"
 )
 
 // Config describes a Client. Only Bootstrap is required.
@@ -50,6 +52,8 @@
 	// maxResponseBytes is the system's limit on a response body, 8 MB, plus the
 	// overhead of base64 in an outcome report.
 	maxResponseBytes = 12 << 20
+	// maxHeadBytes bounds a response's status line and header fields.
+	maxHeadBytes = 64 << 10
 	// maxUnchargedFailures limits the attempts of one request that fail without
 	// a charge to the retry budget, such as those that could not connect.
 	maxUnchargedFailures = 8
@@ -92,7 +96,7 @@
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
 	cfg       Config
-	http      *http.Transport
+	http      http.RoundTripper
 	directory *directory
 	budget    *budget
 }
@@ -109,18 +113,19 @@
 		cfg.RetryRatio = defaultRetryRatio
 	}
 	c := &Client{cfg: cfg, budget: newBudget(cfg.RetryRatio)}
-	c.http = &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerInstance,
-		IdleConnTimeout:     idleTimeout,
-	}
+	c.http = httpstrict.Transport(&http.Transport{
+		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerInstance,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	})
 	c.directory = newDirectory(cfg, c.exchange)
 	return c
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { (&http.Client{Transport: c.http}).CloseIdleConnections() }
 
 // Do sends a request and retries it if necessary, until the context's deadline.
 // If there is no response, the error is a *NotRunError, an *UnknownError or a
--- a/cmd/jujubectl/instances.go
+++ b/cmd/jujubectl/instances.go
@@ -11,11 +11,19 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jujubestile.example/jujubestile/internal/httpstrict"
 )
 
 // instanceTimeout bounds the request to the metrics address of one instance.
 const instanceTimeout = 3 * time.Second
 
+// maxMetricsBytes bounds the metrics of one instance: 4 KB for each of 10,000 endpoints.
+const maxMetricsBytes = 40 << 20
+
+// metricsClient reads metrics.
+var metricsClient = &http.Client{Transport: httpstrict.Transport(&http.Transport{DisableKeepAlives: true})}
+
 // instanceState is what the metrics of an instance on the users' platform say of its
 // desired state.
 type instanceState struct {
@@ -74,7 +82,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := metricsClient.Do(req)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -82,7 +90,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("status %d", resp.StatusCode)
 	}
-	return errors.Trace(json.NewDecoder(resp.Body).Decode(into))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxMetricsBytes+1))
+	if err == nil && len(text) > maxMetricsBytes {
+		err = errors.Errorf("metrics of more than %d bytes", maxMetricsBytes)
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(json.Unmarshal(text, into))
 }
 
 func instancesTable(w io.Writer, states []instanceState) {
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"jujubestile.example/jujubestile/internal/configsync"
+	"jujubestile.example/jujubestile/internal/httpstrict"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/store"
 )
@@ -63,7 +64,7 @@
 	return &Client{
 		addresses: addresses,
 		http: &http.Client{
-			Transport: transport,
+			Transport: httpstrict.Transport(transport),
 			Timeout:   clientTimeout,
 			// Redirects are not followed; the next instance is tried instead.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- /dev/null
+++ b/internal/httpstrict/transport.go
@@ -0,0 +1,80 @@
+package httpstrict
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// defaultMaxHead is the largest head of a response, in bytes, if the transport has no
+// limit.
+const defaultMaxHead = 64 << 10
+
+// Transport returns a RoundTripper for HTTP/1 that works like base and ends an exchange
+// with an error of this package if the peer sends what is not a response. It limits
+// heads to base.MaxResponseHeaderBytes. base must not be used otherwise.
+func Transport(base *http.Transport) http.RoundTripper {
+	t := base.Clone()
+	if t.MaxResponseHeaderBytes == 0 {
+		t.MaxResponseHeaderBytes = defaultMaxHead
+	}
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err // Not wrapped: net/http checks its type.
+		}
+		return &conn{Conn: c, head: head{max: int(t.MaxResponseHeaderBytes), interim: true, state: headDone}}, nil
+	}
+	return &transport{t}
+}
+
+// transport is an http.Transport whose connections are checked.
+type transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok {
+			c.expect()
+		}
+	}}
+	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
+
+// conn checks the heads of responses on a connection that net/http reads.
+type conn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	head head
+}
+
+// expect begins the head of a response: a request is about to be written.
+func (c *conn) expect() {
+	c.mu.Lock()
+	c.head.reset()
+	c.mu.Unlock()
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	bad := c.head.err
+	c.mu.Unlock()
+	if bad != nil {
+		return 0, bad
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if bad := c.head.check(p[:n]); bad != nil {
+		return 0, bad
+	}
+	return n, err // Not wrapped: net/http checks its type.
+}
--- a/internal/instancelist/http.go
+++ b/internal/instancelist/http.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"jujubestile.example/jujubestile/internal/httpstrict"
 	"jujubestile.example/jujubestile/internal/model"
 )
 
@@ -79,7 +80,7 @@
 // "http://10.0.0.6:8500".
 func NewClient(base string) *Client {
 	t := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}
-	return &Client{url: base + PathInstances, http: &http.Client{Transport: t}}
+	return &Client{url: base + PathInstances, http: &http.Client{Transport: httpstrict.Transport(t)}}
 }
 
 // Close closes idle connections.
