forward: close a connection as it was when it was chosen

Cause: Guard.relieve asked twice why a connection may be closed. If the rest of its header section arrived in between, the second answer was -1, an index out of range. The panic passed chargeHeader, which had released a mutex that its caller unlocks, so the runtime ended the process.

Change: the reason is kept with the connection's state, and the connection stays open if that has changed when it is to be closed. The same holds for connections closed to keep to the limit of a listener. The mutex is taken back in a deferred call.

Evidence: TestCallerMovesOnWhileRoomIsMade panics on (index out of range [-1]) and passes now.

--- a/internal/forward/conn_header.go
+++ b/internal/forward/conn_header.go
@@ -41,10 +41,7 @@
 	}
 	cost := int64(n) * headerCost
 	if !a.guard.budget.TryAcquire(class, cost) {
-		a.mu.Unlock()
-		granted := a.guard.await(context.Background(), class, cost, headerWait)
-		a.mu.Lock()
-		if !granted {
+		if !a.awaitUnlocked(class, cost) {
 			a.guard.closed(a, bound.HeaderRefused)
 			return false
 		}
@@ -58,6 +55,14 @@
 	return true
 }
 
+// awaitUnlocked waits for memory without the mutex, which the caller holds before and
+// after.
+func (a *guardedConn) awaitUnlocked(class bound.Class, n int64) bool {
+	a.mu.Unlock()
+	defer a.mu.Lock() // Also after a panic, or the caller's unlock would end the process.
+	return a.guard.await(context.Background(), class, n, headerWait)
+}
+
 // beginRequest replaces the charge for the header section by what its fields take.
 func (a *guardedConn) beginRequest(h http.Header) {
 	a.served.Store(true)
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"jujubestile.example/jujubestile/internal/bound"
 	"jujubestile.example/jujubestile/internal/events"
 )
@@ -129,44 +131,77 @@
 	if now.UnixNano()-last < int64(relieveInterval) || !g.relievedAt.CompareAndSwap(last, now.UnixNano()) {
 		return
 	}
-	var stalled []*guardedConn
+	var stalled []candidate
 	g.mu.Lock()
 	groups := slices.Clone(g.groups)
 	g.mu.Unlock()
 	for _, of := range groups {
-		stalled = of.collect(stalled, func(a *guardedConn) bool { return a.stallReason(now) >= 0 })
+		stalled = of.collect(stalled, func(a *guardedConn) (bound.Reason, bool) { return a.stallReason(now) })
 	}
-	weight := func(a *guardedConn) float64 { return float64(a.held.Load()) * float64(a.stalled(now)) }
-	slices.SortFunc(stalled, func(a, b *guardedConn) int { return cmp.Compare(weight(b), weight(a)) })
-	for _, a := range stalled {
+	slices.SortFunc(stalled, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	for _, c := range stalled {
 		if n <= 0 {
 			return
 		}
-		n -= a.held.Load()
-		g.evict(a, a.stallReason(now))
+		held := c.conn.held.Load()
+		if g.evict(c) {
+			n -= held
+		}
 	}
 }
 
-// stallReason returns why the connection may be closed for its memory, or -1.
-func (a *guardedConn) stallReason(now time.Time) bound.Reason {
+// stallReason returns why the connection may be closed for its memory. It is false if
+// it may not.
+func (a *guardedConn) stallReason(now time.Time) (bound.Reason, bool) {
 	if a.held.Load() == 0 || a.stalled(now) < minStall {
-		return -1
+		return 0, false
 	}
 	switch phase(a.phase.Load()) {
 	case phaseHeader, phaseBody:
-		return bound.SlowSender
+		return bound.SlowSender, true
 	case phaseAnswer:
-		return bound.SlowReader
+		return bound.SlowReader, true
 	case phaseIdle:
-		return bound.Unread
+		return bound.Unread, true
 	}
-	return -1 // The caller waits for an endpoint.
+	return 0, false // The caller waits for an endpoint.
+}
+
+// candidate is a connection that may be closed, as it was when that was decided.
+type candidate struct {
+	conn              *guardedConn
+	reason            bound.Reason
+	since, progressAt int64
+	// weight is the held memory times the time without progress.
+	weight float64
+}
+
+// candidate returns the connection as one that may be closed.
+func (a *guardedConn) candidate(r bound.Reason, now time.Time) candidate {
+	return candidate{a, r, a.since.Load(), a.progressAt.Load(), float64(a.held.Load()) * float64(a.stalled(now))}
 }
 
-// evict closes a connection.
-func (g *Guard) evict(a *guardedConn, r bound.Reason) {
-	g.closed(a, r)
+const errEvicted = errors.ConstError("connection closed to make room")
+
+// evict closes a connection, unless it has moved on since that was decided: it may have
+// sent a whole request by now, which must not be sent to an endpoint and then cut.
+func (g *Guard) evict(c candidate) bool {
+	a := c.conn
+	a.mu.Lock()
+	if a.since.Load() != c.since || a.progressAt.Load() != c.progressAt {
+		a.mu.Unlock()
+		return false
+	}
+	if a.err == nil {
+		a.err = errEvicted
+	}
+	if a.cancel != nil {
+		a.cancel(errEvicted)
+	}
+	a.mu.Unlock()
+	g.closed(a, c.reason)
 	_ = a.Close() // The caller sees the end of the connection.
+	return true
 }
 
 // closed counts and logs a connection that is closed, or a request that is refused.
--- a/internal/forward/guard_test.go
+++ b/internal/forward/guard_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -102,3 +103,58 @@
 		}
 	}
 }
+
+// Guards against a caller that sends on while its connection is being chosen to be
+// closed: looking for the reason once more ended the process.
+func TestCallerMovesOnWhileRoomIsMade(t *testing.T) {
+	const rounds, conns = 200, 100
+	for range rounds {
+		g := NewGuard(GuardConfig{})
+		of := newGroup(0)
+		g.groups = append(g.groups, of)
+		var all []*guardedConn
+		for range conns {
+			a := &guardedConn{Conn: noClose{}, guard: g, group: of}
+			a.cond = sync.NewCond(&a.mu)
+			a.held.Store(1)
+			a.enter(phaseHeader)
+			a.progressAt.Store(time.Now().Add(-time.Hour).UnixNano())
+			of.add(a)
+			all = append(all, a)
+		}
+		var moving sync.WaitGroup
+		moving.Go(func() {
+			for _, a := range all {
+				a.progressAt.Store(time.Now().UnixNano())
+			}
+		})
+		g.relieve(conns, time.Now())
+		moving.Wait()
+	}
+}
+
+// noClose is a connection that stays open and has no addresses that can be logged.
+type noClose struct{ net.Conn }
+
+// Close implements net.Conn.
+func (noClose) Close() error { return nil }
+
+// Guards against closing a connection whose request has been received and may be on its
+// way to an endpoint, because it was slow before.
+func TestRunningRequestIsNotEvicted(t *testing.T) {
+	g := NewGuard(GuardConfig{})
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	a := g.newConn(ours, newGroup(0))
+	defer a.Close()
+	a.enter(phaseHeader)
+	c := a.candidate(bound.SlowSender, time.Now())
+	time.Sleep(time.Millisecond)
+	a.beginRequest(http.Header{})
+	if g.evict(c) || a.closed {
+		t.Error("the connection was closed")
+	}
+	if c = a.candidate(bound.SlowSender, time.Now()); !g.evict(c) {
+		t.Error("a connection that has not moved on was not closed")
+	}
+}
--- a/internal/forward/listener.go
+++ b/internal/forward/listener.go
@@ -80,13 +80,16 @@
 	return len(of.conns)
 }
 
-// collect appends the connections for which ok returns true.
-func (of *group) collect(out []*guardedConn, ok func(*guardedConn) bool) []*guardedConn {
+// collect appends the connections for which there is a reason to close them.
+func (of *group) collect(out []candidate, why func(*guardedConn) (bound.Reason, bool)) []candidate {
+	now := time.Now()
 	of.mu.Lock()
 	defer of.mu.Unlock()
 	for a := range of.conns {
-		if ok(a) {
-			out = append(out, a)
+		c := a.candidate(0, now) // Before the reason, which then holds for it or is outdated.
+		if r, ok := why(a); ok {
+			c.reason = r
+			out = append(out, c)
 		}
 	}
 	return out
@@ -108,8 +111,8 @@
 // open ones if necessary and possible.
 func (g *Guard) awaitRoom(of *group) {
 	for of.limit > 0 && of.count() >= of.limit {
-		if a, reason := of.leastUseful(time.Now()); a != nil {
-			g.evict(a, reason)
+		if c, ok := of.leastUseful(time.Now()); ok {
+			g.evict(c)
 			continue
 		}
 		select {
@@ -121,37 +124,41 @@
 
 // leastUseful returns the connection to close when there is no room: the oldest that
 // has sent no whole request, or else the one that is idle for longest, or else the one
-// that has made no progress for longest. It returns nil if all are in use.
-func (of *group) leastUseful(now time.Time) (*guardedConn, bound.Reason) {
-	var unused, idle, stalled *guardedConn
-	older := func(a, than *guardedConn) bool { return than == nil || a.since.Load() < than.since.Load() }
+// that has made no progress for longest. It is false if all are in use.
+func (of *group) leastUseful(now time.Time) (candidate, bool) {
+	var unused, idle, stalled candidate
+	older := func(c, than candidate) bool { return than.conn == nil || c.since < than.since }
 	of.mu.Lock()
 	defer of.mu.Unlock()
 	for a := range of.conns {
-		age := time.Duration(now.UnixNano() - a.since.Load())
-		switch phase(a.phase.Load()) {
+		c := a.candidate(0, now) // Before the phase, which then holds for it or is outdated.
+		switch p := phase(a.phase.Load()); p {
 		case phaseIdle, phaseHeader:
 			switch {
-			case a.served.Load() && phase(a.phase.Load()) == phaseIdle:
-				if older(a, idle) {
-					idle = a
+			case a.served.Load() && p == phaseIdle:
+				if older(c, idle) {
+					idle = c
 				}
-			case age >= unusedAfter && older(a, unused):
-				unused = a
+			case time.Duration(now.UnixNano()-c.since) >= unusedAfter && older(c, unused):
+				unused = c
 			}
 		case phaseBody, phaseAnswer:
-			if a.stalled(now) >= stalledAfter && older(a, stalled) {
-				stalled = a
+			if a.stalled(now) >= stalledAfter && older(c, stalled) {
+				stalled = c
 			}
 		}
 	}
+	chosen := stalled
+	chosen.reason = bound.StalledClosed
 	switch {
-	case unused != nil:
-		return unused, bound.UnusedClosed
-	case idle != nil:
-		return idle, bound.IdleClosed
+	case unused.conn != nil:
+		chosen = unused
+		chosen.reason = bound.UnusedClosed
+	case idle.conn != nil:
+		chosen = idle
+		chosen.reason = bound.IdleClosed
 	}
-	return stalled, bound.StalledClosed
+	return chosen, chosen.conn != nil
 }
 
 // Handler returns a handler for a listener of the guard whose requests have no use
