forward: charge the headers of requests that go on without their callers

Cause: the attempt of a request that may not be repeated goes on after its caller has left, and holds the parsed header. The charge for the header ended with the connection; only that for the body was held by the attempt.

Change: header section and body have one charge, which ends when neither the handler nor an attempt holds them. A connection that has its answer is not chosen to be closed for memory that only an attempt holds.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -35,48 +35,71 @@
 	errBodyTooLong = errors.ConstError("the body exceeds the limit")
 )
 
-// bodyCharge is the charge for the body of a request. It ends when neither the
-// handler nor an attempt holds the body.
-type bodyCharge struct {
+// requestCharge is the charge for the header section and the body of a request. It ends
+// when neither the handler nor an attempt holds them: the attempts of a request that may
+// not be repeated go on after its caller has left.
+type requestCharge struct {
 	guard *Guard
 	conn  *guardedConn
-	class bound.Class
-	n     int64
-	refs  atomic.Int64
+	// charged are the bytes by class.
+	charged [2]int64
+	refs    atomic.Int64
+	// answered is set once the connection no longer holds the bytes, though an attempt
+	// may.
+	answered atomic.Bool
+	// body is the class of the body.
+	body bound.Class
 	// waitEnd bounds all waits of the body together, once one has begun: bodies in
 	// chunks that each hold a part would otherwise wait for each other again and
 	// again.
 	waitEnd time.Time
 }
 
-func (c *bodyCharge) retain() {
+func (c *requestCharge) retain() {
 	if c != nil {
 		c.refs.Add(1)
 	}
 }
 
-func (c *bodyCharge) release() {
-	if c != nil && c.refs.Add(-1) == 0 {
-		c.conn.held.Add(-c.n)
-		c.guard.budget.Release(c.class, c.n)
+func (c *requestCharge) release() {
+	if c == nil || c.refs.Add(-1) != 0 {
+		return
+	}
+	c.leaveConn()
+	for class, n := range c.charged {
+		c.guard.budget.Release(bound.Class(class), n)
 	}
 }
 
-// add charges n more bytes and waits for them for a bounded time.
-func (c *bodyCharge) add(ctx context.Context, n int64, deadline time.Time) error {
-	if !c.guard.budget.TryAcquire(c.class, n) {
+// leaveConn ends what the connection holds: closing it would not free the bytes that an
+// attempt holds.
+func (c *requestCharge) leaveConn() {
+	if c.answered.CompareAndSwap(false, true) {
+		c.conn.held.Add(-c.charged[bound.Small] - c.charged[bound.Large])
+	}
+}
+
+// end ends what the handler holds.
+func (c *requestCharge) end() {
+	c.leaveConn()
+	c.release()
+}
+
+// add charges n more bytes of the body and waits for them for a bounded time.
+func (c *requestCharge) add(ctx context.Context, n int64, deadline time.Time) error {
+	if !c.guard.budget.TryAcquire(c.body, n) {
 		if c.waitEnd.IsZero() {
 			c.waitEnd = time.Now().Add(min(bodyWait, time.Duration(bodyWaitShare*float64(time.Until(deadline)))))
 		}
 		before := phase(c.conn.phase.Load())
 		c.conn.resume() // The caller is not to blame for the wait.
-		granted := c.guard.await(ctx, c.class, n, time.Until(c.waitEnd))
+		granted := c.guard.await(ctx, c.body, n, time.Until(c.waitEnd))
 		c.conn.enter(before)
 		if !granted {
 			return errBodyRefused
 		}
 	}
-	c.n += n
+	c.charged[c.body] += n
 	c.conn.held.Add(n)
 	return nil
 }
@@ -90,11 +113,9 @@
 	if r.ContentLength > limit {
 		return errBodyTooLong
 	}
-	c := &bodyCharge{guard: a.guard, conn: a}
-	c.refs.Store(1)
-	req.charge = c
+	c := req.charge
 	if r.ContentLength > bodyPart || r.ContentLength < 0 {
-		c.class = bound.Large
+		c.body = bound.Large
 	}
 	if r.ContentLength > 0 {
 		if err := c.add(r.Context(), r.ContentLength, req.Deadline); err != nil {
--- a/internal/forward/conn_header.go
+++ b/internal/forward/conn_header.go
@@ -63,8 +63,9 @@
 	return a.guard.await(context.Background(), class, n, headerWait)
 }
 
-// beginRequest replaces the charge for the header section by what its fields take.
-func (a *guardedConn) beginRequest(h http.Header) {
+// beginRequest replaces the charge for the header section by what its fields take, and
+// returns that. It is held once.
+func (a *guardedConn) beginRequest(h http.Header) *requestCharge {
 	a.served.Store(true)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -86,6 +87,10 @@
 		a.held.Add(actual)
 		a.guard.budget.Force(bound.Small, actual)
 	}
+	c := &requestCharge{guard: a.guard, conn: a, charged: a.charges}
+	c.refs.Store(1)
+	a.charges = [2]int64{}
+	return c
 }
 
 // beginAnswer charges an answer of n bytes, which is held until the caller has taken it.
@@ -101,10 +106,9 @@
 	a.guard.budget.Release(bound.Small, n)
 }
 
-// endRequest ends the charge of a request.
+// endRequest ends a request. Its charge goes on as long as an attempt does.
 func (a *guardedConn) endRequest() {
 	a.mu.Lock()
-	a.releaseHeader()
 	a.buf.release()
 	a.enter(phaseIdle)
 	a.whole.Store(false)
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -136,8 +136,8 @@
 	// instance, the witness, that the request is about to be sent. If it returns
 	// an error, the request is not sent.
 	RecordIntent func(context.Context) error
-	// charge is the memory that the body takes, or nil.
-	charge *bodyCharge
+	// charge is the memory that the header section and the body take, or nil.
+	charge *requestCharge
 }
 
 // bodyBytes returns the size of the body.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -107,10 +107,10 @@
 	if conn == nil {
 		conn = unguarded()
 	}
-	conn.beginRequest(r.Header)
+	req.charge = conn.beginRequest(r.Header)
+	defer req.charge.end()
 	defer conn.endRequest()
 	early := h.prepare(conn, w, r, req, fields)
-	defer func() { req.charge.release() }()
 	if early != nil {
 		if req.Charged != nil {
 			h.cfg.Quota.Refund(req.Charged)
--- a/internal/forward/listener.go
+++ b/internal/forward/listener.go
@@ -166,7 +166,7 @@
 func (g *Guard) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if a := connOf(r.Context()); a != nil {
-			a.beginRequest(r.Header)
+			defer a.beginRequest(r.Header).end()
 			defer a.endRequest()
 			if r.ContentLength != 0 {
 				a.closeUnread(w)
