exchange: a request that wants a new connection gets one

Cause: without RecentUse, a connection counted as new enough if it was released after the clock had been read for the comparison.

Change: such a request takes no kept connection.

Evidence: TestReleasedConnectionIsNotNew fails before (reused: true) and passes now.

--- a/internal/exchange/idle_test.go
+++ b/internal/exchange/idle_test.go
@@ -46,3 +46,24 @@
 		}
 	}
 }
+
+// Guards against a request that wants a new connection and gets one that was released
+// after the age of connections had been compared: without RecentUse none is new enough.
+func TestReleasedConnectionIsNotNew(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	cfg := Default()
+	cfg.RecentUse = 0
+	c := New(cfg, noFields{})
+	to := Target{ID: "e1", Addr: netip.MustParseAddrPort(s.Listener.Addr().String())}
+	defer c.Drop(to.ID)
+	call := &Call{Method: "GET", Target: "/", Host: "h", Deadline: time.Now().Add(time.Second), RequireRecent: true}
+	for range 2 {
+		if res := c.Do(context.Background(), to, call); res.Outcome != Answered || res.Reused {
+			t.Errorf("outcome %s, reused: %v, %v", res.Outcome, res.Reused, res.Err)
+		}
+		for _, idle := range c.pool(to.ID).idle {
+			idle.lastUse = time.Now().Add(time.Minute) // As one that is released while the next request looks for it.
+		}
+	}
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -82,8 +82,11 @@
 	if call.RequireRecent {
 		oldest = time.Now().Add(-c.cfg.RecentUse)
 	}
-	if cn := p.take(oldest, call.ID); cn != nil {
-		return cn, 0, nil
+	// Without a RecentUse, a connection that is released meanwhile is not new either.
+	if !call.RequireRecent || c.cfg.RecentUse > 0 {
+		if cn := p.take(oldest, call.ID); cn != nil {
+			return cn, 0, nil
+		}
 	}
 	if !p.reserve(to.MaxConns) {
 		return nil, 0, ErrTooManyConns
