exchange, platform: a success without a signature is no answer

Callers saw: a 2xx that the endpoint's program had not made, such as that of a process in trouble, with an empty or short body (MIXED).

Cause: only the head's form and the request ID were checked. The programs of endpoints sign each success.

Responses to probes are not signed and not checked.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -263,6 +263,9 @@
 	}
 	res := &Result{Status: resp.StatusCode, Header: resp.Header, Body: body}
 	res.Fields = c.protocol.Read(resp.StatusCode, resp.Header)
+	if res.Fields.Unproven && w.id != "" { // Responses to probes have no mark.
+		return nil, errUnproven
+	}
 	if res.Fields.NotRun {
 		res.Outcome = NotRun // Shown by the head, whatever follows.
 	} else if unframed(resp, w.req.Method) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -151,6 +151,9 @@
 	// Misdirected means that the request reached an endpoint other than the
 	// expected one.
 	Misdirected bool
+	// Unproven means that the response is a success without the mark that the endpoint's
+	// program gives to each of its own.
+	Unproven bool
 	// Endpoint is the ID of the endpoint, or empty.
 	Endpoint string
 	// ColdFor is the rest of the endpoint's cold period, in which it tolerates
@@ -244,6 +247,7 @@
 	errTooLarge          = errors.ConstError("response body exceeds the size limit")
 	errConnClosed        = errors.ConstError("connection was closed before the request was sent")
 	errUnidentified      = errors.ConstError("response without a request ID may belong to an earlier request of the connection")
+	errUnproven          = errors.ConstError("success without the mark of the endpoint's program")
 	errUnframed          = errors.ConstError("response body has neither a length nor chunks and may be truncated")
 )
 
