exchange: a request that wants a new connection still closes expired ones

Cause: since such a request passed over the kept connections, and with them over the search for expired ones, which count towards the limit of the endpoint.

Change: it looks through them again and takes none.

--- a/internal/exchange/idle_test.go
+++ b/internal/exchange/idle_test.go
@@ -67,3 +67,22 @@
 		}
 	}
 }
+
+// Guards against idle connections that count towards the limit of the endpoint after
+// their time, because requests that want new connections do not look for them.
+func TestExpiredConnectionsAreClosedForNewOnes(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	cfg := Default()
+	cfg.RecentUse, cfg.MaxIdle = 0, time.Nanosecond
+	c := New(cfg, noFields{})
+	to := Target{ID: "e1", Addr: netip.MustParseAddrPort(s.Listener.Addr().String()), MaxConns: 2}
+	defer c.Drop(to.ID)
+	for range 5 {
+		call := &Call{Method: "GET", Target: "/", Host: "h", Deadline: time.Now().Add(time.Second), RequireRecent: true}
+		if res := c.Do(context.Background(), to, call); res.Outcome != Answered {
+			t.Errorf("outcome %s, %v", res.Outcome, res.Err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -74,19 +74,23 @@
 	return p
 }
 
+// never is longer than any connection lives.
+const never = 100 * 365 * 24 * time.Hour
+
 // acquire returns an idle connection of the pool or opens a new one. It also
 // returns the time spent on opening it.
 func (c *Client) acquire(ctx context.Context, to Target, call *Call) (*conn, time.Duration, error) {
 	p := c.pool(to.ID)
 	oldest := time.Time{}
-	if call.RequireRecent {
+	switch {
+	case call.RequireRecent && c.cfg.RecentUse > 0:
 		oldest = time.Now().Add(-c.cfg.RecentUse)
+	case call.RequireRecent:
+		// No kept connection is new, not even one that is released meanwhile.
+		oldest = time.Now().Add(never)
 	}
-	// Without a RecentUse, a connection that is released meanwhile is not new either.
-	if !call.RequireRecent || c.cfg.RecentUse > 0 {
-		if cn := p.take(oldest, call.ID); cn != nil {
-			return cn, 0, nil
-		}
+	if cn := p.take(oldest, call.ID); cn != nil {
+		return cn, 0, nil
 	}
 	if !p.reserve(to.MaxConns) {
 		return nil, 0, ErrTooManyConns
