serve: report a crash with the recent reports only

Callers saw: nothing.

Cause: each instance that sees a crash sends all reports of the last 20 minutes to all others. More crashes are recognized now, reports are sent again if they are not confirmed, and each sender compared its reports at once.

Change: a crash is sent with the reports of the last 10 s, twice at most; the comparison after a crash is left to processes of less than 10 s. Regular comparisons bring the rest, as before.

TestRecentReports is new.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -317,3 +317,21 @@
 	}
 	t.Logf("%d reports: %d bytes encoded", maxReports, len(encoded))
 }
+
+// Guards against messages that grow with all crashes of the last minutes: each crash is
+// reported by many instances to all.
+func TestRecentReports(t *testing.T) {
+	f := newFleet(1, 2, 1)
+	q, other := f.instances[0], f.instances[1]
+	q.Started(1, "a")
+	q.Finished(1, "a", true)
+	f.clock = f.clock.Add(time.Minute)
+	if q.Recent(10*time.Second) != nil {
+		t.Error("an old report counts as recent")
+	}
+	q.Started(1, "b")
+	q.Finished(1, "b", true)
+	if changed, err := other.Merge(q.Recent(10 * time.Second)); err != nil || !changed || len(other.reports) != 1 {
+		t.Errorf("%v, %v, %d reports, want the recent one", changed, err, len(other.reports))
+	}
+}
--- a/internal/quarantine/topic.go
+++ b/internal/quarantine/topic.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/gob"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -47,8 +48,16 @@
 
 // News implements membership.Topic. If the digests differ it returns all reports,
 // since there are few.
-func (q *Quarantine) News(digest []byte) []byte {
-	reports := q.reportsFor(digest)
+func (q *Quarantine) News(digest []byte) []byte { return encode(q.reportsFor(digest)) }
+
+// Recent returns the reports of the last time, for instances that have the earlier ones.
+func (q *Quarantine) Recent(within time.Duration) []byte {
+	reports := q.reportsFor(nil)
+	return encode(slices.DeleteFunc(reports, func(r wireReport) bool { return r.Age > within }))
+}
+
+// encode encodes reports, or returns nil if there are none.
+func encode(reports []wireReport) []byte {
 	if len(reports) == 0 {
 		return nil
 	}
--- a/internal/serve/crash_reports.go
+++ b/internal/serve/crash_reports.go
@@ -17,8 +17,8 @@
 // before it serves requests, because the requests that crash endpoints keep coming
 // back, and goes on asking if no instance answers at first. Each instance regularly
 // compares its reports with those of another one, which makes up for a report that did
-// not arrive, and does so at once after a crash that it has seen. Reports carry their
-// age.
+// not arrive; a new process does so also after each crash that it has seen. Reports carry
+// their age.
 
 const (
 	// crashReportTimeout bounds one call. It allows for opening a connection to an
@@ -44,9 +44,14 @@
 	// crashCompareTries is how many instances are asked for one comparison if they do
 	// not answer.
 	crashCompareTries = 3
+	// crashNewFor is how long a process compares its reports after each crash. Later, its
+	// regular comparisons have made up for what it missed.
+	crashNewFor = 10 * time.Second
+	// crashSendAge is the age up to which reports are sent after a crash.
+	crashSendAge = 10 * time.Second
 	// crashSendTries is how often a report is sent to an instance that does not confirm
 	// it, crashSendInterval the time between two tries.
-	crashSendTries    = 3
+	crashSendTries    = 2
 	crashSendInterval = 500 * time.Millisecond
 )
 
@@ -64,12 +69,15 @@
 	Informed bool
 }
 
-// shareReports sends all crash reports to each live instance, and takes over those that
-// another one has: a process that has seen a crash may lack the reports of earlier ones.
+// shareReports sends the reports of a crash to each live instance. A new process that has
+// seen a crash may lack the reports of earlier ones, and takes over those that another
+// one has.
 func (c *crashDetector) shareReports() {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { c.compare(context.Background()) })
+	if time.Since(c.in.started) < crashNewFor {
+		wg.Go(func() { c.compare(context.Background()) })
+	}
 	to := c.in.members.Alive()
 	for try := 0; len(to) > 0 && try < crashSendTries; try++ {
 		if try > 0 {
@@ -79,11 +87,10 @@
 	}
 }
 
-// sendReports sends all crash reports to instances, and returns those that have not
-// confirmed them. The reports are few: they cover the requests in flight at endpoints
-// that crashed recently.
+// sendReports sends the recent crash reports to instances, and returns those that have
+// not confirmed them. Earlier reports were sent when they were new.
 func (c *crashDetector) sendReports(to []fleet.Presence) (failed []fleet.Presence) {
-	args := CrashesArgs{c.quarantine.News(nil)}
+	args := CrashesArgs{c.quarantine.Recent(crashSendAge)}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	free := make(chan struct{}, crashReportCalls)
