exchange: reset the connection of a request that has failed

Cancelled attempts already reset theirs.

Change: a connection that fails while a request waits for its response is reset.

--- a/internal/exchange/abandoned_test.go
+++ b/internal/exchange/abandoned_test.go
@@ -50,6 +50,39 @@
 	}
 }
 
+// Guards against a request that reaches its endpoint after its exchange has failed, when
+// it may have been sent to another endpoint.
+func TestFailedRequestDoesNotArriveLater(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.WriteString(c, "this is no response\r\n")
+			accepted <- c
+		}
+	}()
+	client := exchange.New(exchange.Default(), platform.EndpointHeaders{})
+	const size = 96 << 10
+	res := client.Do(context.Background(), exchange.Target{ID: "e", Addr: netip.MustParseAddrPort(ln.Addr().String())},
+		&exchange.Call{Method: http.MethodPost, Target: "/", Host: "h", ID: "r1", Body: make([]byte, size), Deadline: time.Now().Add(5 * time.Second)})
+	if res.Outcome != exchange.Unknown {
+		t.Fatalf("%v, %v", res.Outcome, res.Err)
+	}
+	c := <-accepted
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := io.Copy(io.Discard, c); n >= size {
+		t.Errorf("the endpoint got %d bytes, %v, after the request had failed", n, err)
+	}
+}
+
 // Guards against a caller that leaves while a connection is opened: its request is sent,
 // or its endpoint counts as unreachable.
 func TestCallerLeavesBeforeTheRequestIsSent(t *testing.T) {
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -184,10 +184,14 @@
 // not reached the endpoint never do. The kernel would deliver them after an orderly
 // close, however late, and the endpoint would run a request that nobody waits for.
 func (c *conn) abort() {
+	c.resetOnClose()
+	c.discard()
+}
+
+func (c *conn) resetOnClose() {
 	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = l.SetLinger(0) // Fails only on a closed connection.
 	}
-	c.discard()
 }
 
 // readLoop reads responses until the connection ends or the endpoint announces
@@ -306,6 +310,9 @@
 	c.closed = true
 	c.mu.Unlock()
 	delivered := w != nil && c.delivered(w)
+	if w != nil {
+		c.resetOnClose() // As in abort: another attempt may follow.
+	}
 	_ = c.Close()
 	c.pool.remove(c)
 	if w != nil {
