forward, serve: log answers that were not received and requests that a stop cuts

Reported: around a SIGTERM, requests that an endpoint had run ended with a closed connection. The log of the process has no line on them: a cut request was only counted in event 102, an answer that was written counts as sent, and answered requests are sampled.

Event 817 and the counter answer-cut name each connection that is closed before the kernel of the caller has acknowledged all bytes, with the number of bytes that the caller had sent and that were not read. Event 818 names the requests that are running or being answered when the process stops. Together they tell an answer that was cut by its connection from a request that was cut by the end of the grace period.

--- a/internal/bound/reasons.go
+++ b/internal/bound/reasons.go
@@ -31,13 +31,15 @@
 	StalledClosed
 	// ResponseRefused: the response of an endpoint did not fit.
 	ResponseRefused
+	// AnswerCut: a connection was closed before all of an answer had been received.
+	AnswerCut
 	reasons
 )
 
 // String returns the name for logs and metrics.
 func (r Reason) String() string {
 	return [...]string{"body-refused", "body-too-long", "body-stalled", "header-refused", "header-too-long", "slow-sender", "slow-reader",
-		"unread", "idle", "unused", "stalled", "response-refused"}[r]
+		"unread", "idle", "unused", "stalled", "response-refused", "answer-cut"}[r]
 }
 
 // Counters counts refusals and closed connections by reason.
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -17,6 +17,11 @@
 // phase says what a connection is used for.
 type phase int32
 
+// String returns the name for logs.
+func (p phase) String() string {
+	return [...]string{"idle", "header", "running", "body", "answer"}[p]
+}
+
 const (
 	// phaseIdle: no byte of the next request has been delivered.
 	phaseIdle phase = iota
@@ -94,6 +99,8 @@
 	timer      *time.Timer
 	cancel     context.CancelCauseFunc
 	closed     bool
+	// request is the ID of the last request, for logs.
+	request string
 	// charges are the bytes charged for header sections, by class, and aheadCharge
 	// those for bytes read ahead. headerBytes counts the bytes of a header section.
 	charges     [2]int64
@@ -337,6 +344,11 @@
 
 // Close implements net.Conn.
 func (a *guardedConn) Close() error {
+	a.mu.Lock()
+	if a.err == nil {
+		a.guard.logUnacknowledged(a.request, a.Conn)
+	}
+	a.mu.Unlock()
 	err := a.Conn.Close()
 	a.mu.Lock()
 	if a.err == nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -107,6 +107,7 @@
 	if conn == nil {
 		conn = unguarded()
 	}
+	conn.setRequest(fields.ID)
 	req.charge = conn.beginRequest(r.Header)
 	defer req.charge.end()
 	defer conn.endRequest()
--- a/internal/forward/listener.go
+++ b/internal/forward/listener.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +82,13 @@
 	return len(of.conns)
 }
 
+// all returns the open connections.
+func (of *group) all() []*guardedConn {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	return slices.Collect(maps.Keys(of.conns))
+}
+
 // collect appends the connections for which there is a reason to close them.
 func (of *group) collect(out []candidate, why func(*guardedConn) (bound.Reason, bool)) []candidate {
 	now := time.Now()
--- a/internal/serve/listeners.go
+++ b/internal/serve/listeners.go
@@ -24,6 +24,7 @@
 // listeners holds the running servers of an instance.
 type listeners struct {
 	requests *http.Server
+	callers  forward.Listener
 	others   []*http.Server
 	rpc      *peer.Server
 	socket   *fleet.Socket
@@ -103,10 +104,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	callers, _ := in.settings.connLimits()
+	limit, _ := in.settings.connLimits()
+	l.callers = in.guard.Listener(ln, limit)
 	l.requests = &http.Server{Handler: in.handler, ConnContext: forward.ConnContext, ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	go func() { _ = l.requests.Serve(in.guard.Listener(ln, callers)) }() // Ends with close.
+	go func() { _ = l.requests.Serve(l.callers) }() // Ends with close.
 	return nil
 }
 
@@ -170,6 +172,7 @@
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	_ = l.requests.Shutdown(closeCtx)
+	l.callers.LogUnfinished(in.log)
 	in.log.Log(events.Stopped).Int("cut", in.handler.InFlight()).Dur("took_ms", time.Since(started)).Send()
 }
 
