--- a/internal/proctest/serve_test.go
+++ b/internal/proctest/serve_test.go
@@ -35,9 +35,27 @@
 	maxResident, maxFiles             int
 }
 
+// serveConfig configures a serveProcess and its endpoints.
+type serveConfig struct {
+	// memoryMB and maxFiles are the limits of the machine.
+	memoryMB, maxFiles int
+	// grace is the time from SIGTERM to SIGKILL.
+	grace time.Duration
+	// serviceTime is the time that a request takes, responseBytes the size of responses.
+	serviceTime   time.Duration
+	responseBytes int
+}
+
 // startServe starts a process with the given limits of its machine and waits until
 // it answers requests. responseBytes is the size of the endpoints' responses.
 func startServe(t *testing.T, memoryMB, maxFiles, responseBytes int) *serveProcess {
+	t.Helper()
+	return startServeWith(t, serveConfig{memoryMB: memoryMB, maxFiles: maxFiles, grace: 2 * time.Second,
+		serviceTime: 5 * time.Millisecond, responseBytes: responseBytes})
+}
+
+// startServeWith starts a process and waits until it answers requests.
+func startServeWith(t *testing.T, cfg serveConfig) *serveProcess {
 	t.Helper()
 	store, err := standin.StartStore("127.0.0.1:0")
 	if err != nil {
@@ -46,7 +64,7 @@
 	t.Cleanup(store.Close)
 	for i := range 2 {
 		e, err := standin.StartEndpoint(standin.EndpointConfig{ID: fmt.Sprint("e", i), Service: "s", Domain: "a1", Slots: 32, Queue: 64,
-			ServiceTime: 5 * time.Millisecond, ResponseBytes: responseBytes})
+			ServiceTime: cfg.serviceTime, ResponseBytes: cfg.responseBytes})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -61,8 +79,8 @@
 		"instance": "i1", "region": "a", "domain": "a1", "domains": map[string]string{"a1": "a"},
 		"listen": map[string]string{"requests": s.requests, "ready": s.ready, "lookups": s.lookups, "metrics": s.metrics, "peer": reserveAddr(t)},
 		"store":  map[string]string{"address": store.Addr()},
-		"bounds": map[string]any{"grace": "2s", "retry_ratio": 0.2, "retry_slack": 120, "retry_window": "10s", "max_shift": 0.15},
-		"seeds":  []string{}, "memory_mb": memoryMB, "max_files": maxFiles, "log": map[string]string{"level": "info"},
+		"bounds": map[string]any{"grace": cfg.grace.String(), "retry_ratio": 0.2, "retry_slack": 120, "retry_window": "10s", "max_shift": 0.15},
+		"seeds":  []string{}, "memory_mb": cfg.memoryMB, "max_files": cfg.maxFiles, "log": map[string]string{"level": "info"},
 	})
 	eventually(t, 10*time.Second, "first answer", s.answers)
 	return s
