forward: close connections in stages

What callers saw: an answer that breaks off with a reset, around a SIGTERM and whenever an instance closed a connection behind an answer.

Cause: net/http closes the descriptor right behind the last answer. A request that the caller sends behind it reaches a closed socket, the kernel resets the connection and drops what the caller has not received of the answer. Callers that pipeline do so each time; a stopping instance closes all connections that way.

Change: Close of a caller's connection closes the write side, reads and discards until the caller has closed its side, for one second after the caller's kernel has all and for ten seconds at most (RFC 9112, section 9.6). Connections that owe nothing, whose callers have left, or that the guard closes for their memory or descriptors are closed at once; those that linger stay charged and are closed early if a listener needs room.

TestBodiesAreCharged expects no charge right after the server has closed; it now expects none once the connections have ended, which it waits for.

--- a/internal/bound/reasons.go
+++ b/internal/bound/reasons.go
@@ -31,6 +31,9 @@
 	StalledClosed
 	// ResponseRefused: the response of an endpoint did not fit.
 	ResponseRefused
+	// ClosingEnded: a caller had not closed a connection that the instance had closed
+	// before, while no descriptor was left.
+	ClosingEnded
 	// AnswerCut: a connection was closed before all of an answer had been received.
 	AnswerCut
 	reasons
@@ -39,7 +42,7 @@
 // String returns the name for logs and metrics.
 func (r Reason) String() string {
 	return [...]string{"body-refused", "body-too-long", "body-stalled", "header-refused", "header-too-long", "slow-sender", "slow-reader",
-		"unread", "idle", "unused", "stalled", "response-refused", "answer-cut"}[r]
+		"unread", "idle", "unused", "stalled", "response-refused", "closing", "answer-cut"}[r]
 }
 
 // Counters counts refusals and closed connections by reason.
--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -68,6 +68,7 @@
 		})
 	}
 	s.server.Close()
+	eventually(t, "all connections have ended", func() bool { return g.Stats().Connections == 0 })
 	if st := g.Stats(); st.Used != 0 || st.Large != 0 {
 		t.Errorf("charged at the end: %+v", st)
 	}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"jujubestile.example/jujubestile/internal/bound"
+	"jujubestile.example/jujubestile/internal/linger"
 )
 
 // phase says what a connection is used for.
@@ -19,7 +20,7 @@
 
 // String returns the name for logs.
 func (p phase) String() string {
-	return [...]string{"idle", "header", "running", "body", "answer"}[p]
+	return [...]string{"idle", "header", "running", "body", "answer", "closing"}[p]
 }
 
 const (
@@ -33,6 +34,8 @@
 	phaseBody
 	// phaseAnswer: an answer is being sent.
 	phaseAnswer
+	// phaseClosing: the instance has closed its side, and the caller has not yet.
+	phaseClosing
 )
 
 const (
@@ -98,7 +101,12 @@
 	deadline   time.Time
 	timer      *time.Timer
 	cancel     context.CancelCauseFunc
-	closed     bool
+	// closed is set by Close, ended once the descriptor is closed as well, aborted if
+	// the connection is to be closed without the answer that it owes.
+	closed, ended, aborted bool
+	// owesAnswer is set from the beginning of a request until its answer has been
+	// written and another request may follow, or until the connection has ended.
+	owesAnswer bool
 	// request is the ID of the last request, for logs.
 	request string
 	// charges are the bytes charged for header sections, by class, and aheadCharge
@@ -153,9 +161,21 @@
 	}
 }
 
-// readLoop reads until the connection ends, and pauses while no more may be read
-// ahead.
+// readLoop reads until the connection ends, and ends one that Close has left open.
 func (a *guardedConn) readLoop() {
+	a.readAhead()
+	a.mu.Lock()
+	lingers := a.closed && !a.ended
+	a.mu.Unlock()
+	if lingers {
+		linger.Drain(a.Conn)
+		a.closeNow()
+	}
+}
+
+// readAhead reads until the connection ends, and pauses while no more may be read
+// ahead.
+func (a *guardedConn) readAhead() {
 	chunk := make([]byte, 4<<10)
 	for {
 		n, err := a.Conn.Read(chunk)
@@ -275,6 +295,7 @@
 		if a.buf.len() > 0 {
 			n := min(len(p), a.buf.len())
 			if !a.chargeHeader(n) {
+				a.aborted = true
 				return 0, os.ErrDeadlineExceeded // net/http closes the connection without an answer.
 			}
 			return a.deliver(p[:min(n, a.buf.len())]), nil
@@ -342,33 +363,6 @@
 	return done, nil
 }
 
-// Close implements net.Conn.
-func (a *guardedConn) Close() error {
-	a.mu.Lock()
-	if a.err == nil {
-		a.guard.logUnacknowledged(a.request, a.Conn)
-	}
-	a.mu.Unlock()
-	err := a.Conn.Close()
-	a.mu.Lock()
-	if a.err == nil {
-		a.err = net.ErrClosed
-	}
-	if a.timer != nil {
-		a.timer.Stop()
-	}
-	if !a.closed {
-		a.closed = true
-		a.dropBuffer()
-		a.releaseHeader()
-		a.guard.budget.Release(bound.Small, ConnCost)
-		a.group.remove(a)
-	}
-	a.cond.Broadcast()
-	a.mu.Unlock()
-	return err
-}
-
 // CloseWrite lets net/http close a connection after the last response without
 // resetting it.
 func (a *guardedConn) CloseWrite() error {
--- /dev/null
+++ b/internal/forward/conn_close_test.go
@@ -0,0 +1,98 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Guards against an answer that is cut because its connection is closed while the caller
+// still reads it and sends another request, whatever the reason for closing it is.
+func TestAnswerIsReceivedBeforeAReset(t *testing.T) {
+	const size = 150 << 10
+	for _, test := range []struct {
+		name, request string
+		// close closes the connection from the server's side, if the answer does not.
+		close func(*http.Server)
+	}{
+		{"the caller asks for it", "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", nil},
+		{"an older version of the protocol", "GET / HTTP/1.0\r\nHost: h\r\n\r\n", nil},
+		{"a malformed request follows", oneRequest + "GET\r\n\r\n", nil},
+		{"the server closes idle connections", oneRequest, func(s *http.Server) { _ = s.Close() }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewGuard(GuardConfig{})
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &http.Server{ConnContext: ConnContext, ConnState: ConnState, Handler: g.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", fmt.Sprint(size))
+				_, _ = io.WriteString(w, strings.Repeat("x", size))
+			}))}
+			go func() { _ = s.Serve(g.Listener(ln, 0)) }() // Ends with Close.
+			defer s.Close()
+			c := dialSmallBuffer(t, ln.Addr().String())
+			_, _ = io.WriteString(c, test.request)
+			time.Sleep(200 * time.Millisecond) // The answer is in the kernel's buffers.
+			if test.close != nil {
+				test.close(s)
+			}
+			for range 3 {
+				_, _ = io.WriteString(c, oneRequest)
+				time.Sleep(20 * time.Millisecond)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != size {
+				t.Errorf("%d of %d bytes: %v", n, size, err)
+			}
+			_ = c.Close()
+			for end := time.Now().Add(5 * time.Second); g.Stats().Used > 0; time.Sleep(10 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("still charged: %+v", g.Stats())
+				}
+			}
+		})
+	}
+}
+
+// dialSmallBuffer opens a connection that takes few bytes until they are read.
+func dialSmallBuffer(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	c, err := d.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c
+}
+
+// Guards against a connection that is kept for a caller which neither reads nor leaves:
+// it is closed when the listener needs its place.
+func TestClosingConnectionsMakeRoom(t *testing.T) {
+	g := NewGuard(GuardConfig{})
+	addr := startGuarded(t, g, 1, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 150<<10))
+	}))
+	first := dialSmallBuffer(t, addr)
+	_, _ = io.WriteString(first, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	time.Sleep(200 * time.Millisecond)
+	second := dialAndSend(t, addr, oneRequest)
+	_ = second.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := second.Read(make([]byte, 1)); err != nil {
+		t.Errorf("no room for another connection: %v", err)
+	}
+}
--- a/internal/forward/conn_header.go
+++ b/internal/forward/conn_header.go
@@ -70,6 +70,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.enter(phaseRunning)
+	a.setOwesAnswer(true)
 	if a.paused.Load() {
 		a.cond.Broadcast() // More may be read ahead now.
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -233,6 +233,7 @@
 	switch {
 	case a.CallerGone:
 		// Closes the connection without an answer.
+		conn.abort()
 		panic(http.ErrAbortHandler)
 	case a.Response != nil:
 		n := int64(len(a.Response.Body))
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -108,7 +108,7 @@
 // serve starts a server, behind the guard unless it is nil.
 func (s *testServer) serve(g *forward.Guard) {
 	s.server = httptest.NewUnstartedServer(s.Handler)
-	s.server.Config.ConnContext = forward.ConnContext
+	s.server.Config.ConnContext, s.server.Config.ConnState = forward.ConnContext, forward.ConnState
 	if g != nil {
 		s.server.Listener = g.Listener(s.server.Listener, 0)
 	} else {
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -200,7 +200,7 @@
 	}
 	a.mu.Unlock()
 	g.closed(a, c.reason)
-	_ = a.Close() // The caller sees the end of the connection.
+	a.closeNow()
 	return true
 }
 
@@ -276,7 +276,7 @@
 
 // unguarded returns a connection for a request that was not accepted by a Listener.
 func unguarded() *guardedConn {
-	a := &guardedConn{guard: NewGuard(GuardConfig{}), Conn: noConn{}}
+	a := &guardedConn{guard: NewGuard(GuardConfig{}), Conn: noConn{}, group: newGroup(0)}
 	a.cond = sync.NewCond(&a.mu)
 	return a
 }
--- a/internal/forward/guard_test.go
+++ b/internal/forward/guard_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &http.Server{Handler: g.Handler(h), ConnContext: ConnContext}
+	s := &http.Server{Handler: g.Handler(h), ConnContext: ConnContext, ConnState: ConnState}
 	go func() { _ = s.Serve(g.Listener(ln, limit)) }() // Ends with Close.
 	t.Cleanup(func() { _ = s.Close() })
 	return ln.Addr().String()
--- a/internal/forward/listener.go
+++ b/internal/forward/listener.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jujubestile.example/jujubestile/internal/bound"
@@ -49,6 +50,8 @@
 // group is the set of open connections of a listener.
 type group struct {
 	limit int
+	// owing counts the connections that owe an answer.
+	owing atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*guardedConn]struct{}
@@ -132,10 +135,11 @@
 }
 
 // leastUseful returns the connection to close when there is no room: the oldest that
-// has sent no whole request, or else the one that is idle for longest, or else the one
+// has sent no whole request, or else the one that its caller has not closed for longest
+// though the instance has, or else the one that is idle for longest, or else the one
 // that has made no progress for longest. It is false if all are in use.
 func (of *group) leastUseful(now time.Time) (candidate, bool) {
-	var unused, idle, stalled candidate
+	var unused, closing, idle, stalled candidate
 	older := func(c, than candidate) bool { return than.conn == nil || c.since < than.since }
 	of.mu.Lock()
 	defer of.mu.Unlock()
@@ -151,6 +155,10 @@
 			case time.Duration(now.UnixNano()-c.since) >= unusedAfter && older(c, unused):
 				unused = c
 			}
+		case phaseClosing:
+			if time.Duration(now.UnixNano()-c.since) >= unusedAfter && older(c, closing) {
+				closing = c
+			}
 		case phaseBody, phaseAnswer:
 			if a.stalled(now) >= stalledAfter && older(c, stalled) {
 				stalled = c
@@ -163,6 +171,9 @@
 	case unused.conn != nil:
 		chosen = unused
 		chosen.reason = bound.UnusedClosed
+	case closing.conn != nil:
+		chosen = closing
+		chosen.reason = bound.ClosingEnded
 	case idle.conn != nil:
 		chosen = idle
 		chosen.reason = bound.IdleClosed
--- a/internal/serve/listeners.go
+++ b/internal/serve/listeners.go
@@ -106,7 +106,7 @@
 	}
 	limit, _ := in.settings.connLimits()
 	l.callers = in.guard.Listener(ln, limit)
-	l.requests = &http.Server{Handler: in.handler, ConnContext: forward.ConnContext, ReadHeaderTimeout: headerTimeout,
+	l.requests = &http.Server{Handler: in.handler, ConnContext: forward.ConnContext, ConnState: forward.ConnState, ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go func() { _ = l.requests.Serve(l.callers) }() // Ends with close.
 	return nil
@@ -118,7 +118,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	s := &http.Server{Handler: in.guard.Handler(h), ConnContext: forward.ConnContext, ReadHeaderTimeout: headerTimeout,
+	s := &http.Server{Handler: in.guard.Handler(h), ConnContext: forward.ConnContext, ConnState: forward.ConnState, ReadHeaderTimeout: headerTimeout,
 		WriteTimeout: otherWriteTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	l.others = append(l.others, s)
 	_, limit := in.settings.connLimits()
