serve: a stopping process outlives its last answers

What callers saw: an answer that breaks off with a reset as the process ends.

Cause: the stop waited for handlers only. net/http writes the end of an answer after its handler has returned, and the caller receives it later still; the process gave that 100 ms, closed all connections and ended. The kernel sends the rest, but a request that the caller had sent ahead then resets the connection.

Change: the stop waits, within the time that it has for requests, until no connection owes an answer: from the start of a request until net/http has written the answer and awaits another request, or until the connection has ended. The other listeners are shut down in order instead of cutting their answers.

--- a/internal/forward/unfinished.go
+++ b/internal/forward/unfinished.go
@@ -11,6 +11,10 @@
 	"jujubestile.example/jujubestile/internal/linger"
 )
 
+// Owing returns the number of connections whose callers may not have received all of an
+// answer.
+func (l Listener) Owing() int { return int(l.group.owing.Load()) }
+
 // maxUnfinishedLines bounds the lines on requests that a planned stop cuts.
 const maxUnfinishedLines = 50
 
--- a/internal/proctest/stop_answers_test.go
+++ b/internal/proctest/stop_answers_test.go
@@ -25,7 +25,24 @@
 // connection behind its last answer, a request that the caller had sent ahead arrives
 // there, and the kernel resets the connection with a part of the answer unsent.
 func TestStoppingProcessDeliversAnswersToPipeliningCallers(t *testing.T) {
-	s := startServeWith(t, serveConfig{memoryMB: 206, maxFiles: 2870, grace: stopGrace, serviceTime: stopServiceTime, responseBytes: stopResponse})
+	stopWithPipeliningCallers(t, stopGrace, 100*time.Millisecond)
+}
+
+// Guards against a process that ends while callers still read its last answers: a request
+// that a caller had sent ahead arrives when the process is gone, and the rest of the
+// answer is lost.
+func TestProcessOutlivesItsLastAnswers(t *testing.T) {
+	const grace = 10 * time.Second
+	stopWithPipeliningCallers(t, grace, lookupsKept-stopServiceTime/2)
+}
+
+// lookupsKept is how long a process waits for callers with an old lookup.
+const lookupsKept = 4500 * time.Millisecond
+
+// stopWithPipeliningCallers stops a process whose callers send requests at the given time
+// after the signal, and checks their answers.
+func stopWithPipeliningCallers(t *testing.T, grace, after time.Duration) {
+	s := startServeWith(t, serveConfig{memoryMB: 206, maxFiles: 2870, grace: grace, serviceTime: stopServiceTime, responseBytes: stopResponse})
 	const callers = 10
 	var wg, kept sync.WaitGroup
 	stopping := make(chan struct{})
@@ -36,7 +53,7 @@
 	}
 	kept.Wait()
 	_ = s.cmd.Process.Signal(syscall.SIGTERM)
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(after)
 	close(stopping)
 	wg.Wait()
 	for i, err := range errs {
@@ -44,6 +61,11 @@
 			t.Errorf("caller %d: %v", i, err)
 		}
 	}
+	err := <-s.exited
+	s.exited <- err
+	if err != nil {
+		t.Errorf("the process has not stopped in time: %v", err)
+	}
 }
 
 // pipelineSlowly opens a connection with a first request and calls kept. Once the process
@@ -69,7 +91,7 @@
 	}
 	<-stopping
 	write(c, request(1))
-	time.Sleep(stopServiceTime + 200*time.Millisecond)
+	time.Sleep(stopServiceTime + 600*time.Millisecond)
 	write(c, request(2))
 	return readWhole(in)
 }
--- a/internal/serve/listeners.go
+++ b/internal/serve/listeners.go
@@ -146,7 +146,8 @@
 	return directory.Choose(q, instances, allowedRegions)
 }
 
-// drain moves callers to other instances and waits for the requests in flight:
+// drain moves callers to other instances and waits for the requests in flight and for
+// callers that still receive answers:
 // lookups stop naming the instance at once, and connections are closed after
 // their responses. Requests are sent to endpoints as long as they can be finished
 // before the process stops, after stopFraction of the grace period, and are refused
@@ -167,11 +168,15 @@
 	in.awaitIdle(ctx)
 	// The shutdown of the listener would cut a request that arrives from here on.
 	in.handler.Refuse()
-	in.awaitNone(ctx)
+	in.awaitAnswered(ctx, l)
 	in.handler.Wait(ctx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	_ = l.requests.Shutdown(closeCtx)
+	for _, s := range l.others {
+		_ = s.Shutdown(closeCtx)
+	}
+	in.awaitAnswered(ctx, l)
 	l.callers.LogUnfinished(in.log)
 	in.log.Log(events.Stopped).Int("cut", in.handler.InFlight()).Dur("took_ms", time.Since(started)).Send()
 }
@@ -208,10 +213,11 @@
 	}
 }
 
-// awaitNone waits until no request is in flight.
-func (in *Instance) awaitNone(ctx context.Context) {
+// awaitAnswered waits until no request is in flight and the callers have received all
+// answers.
+func (in *Instance) awaitAnswered(ctx context.Context, l *listeners) {
 	const step = 10 * time.Millisecond
-	for in.handler.InFlight() > 0 {
+	for in.handler.InFlight() > 0 || l.callers.Owing() > 0 {
 		select {
 		case <-ctx.Done():
 			return
