--- a/internal/events/catalogue_serve.go
+++ b/internal/events/catalogue_serve.go
@@ -32,6 +32,12 @@
 	CallerDisconnected = Event{816, "caller disconnected", zerolog.InfoLevel,
 		"The caller closed its connection before it got a response. A request that may be repeated is cancelled.",
 		"None."}
+	AnswerCut = Event{817, "answer not received", zerolog.WarnLevel,
+		"A connection was closed before the caller's kernel had acknowledged all of an answer. The field request is the last request of the connection, unacknowledged the number of bytes that were not acknowledged, unread the number of bytes that the caller had sent and that were not read: if there are any, the kernel drops the former.",
+		"None if callers leave without reading their answers. Otherwise follow the request."}
+	RequestCut = Event{818, "request cut by a planned stop", zerolog.WarnLevel,
+		"The process stops while a request is running or its answer is being sent. The field state says which (body, running, answer), age_ms for how long; suppressed is the number of further requests.",
+		"None for requests that take longer than the rest of the grace period. Otherwise extend the grace period."}
 	StateAdopted = Event{821, "desired state adopted", zerolog.InfoLevel,
 		"A newer desired state is in force on this instance. The field from is store, or the instance that it was fetched from.",
 		"None."}
@@ -117,7 +123,7 @@
 		"A request was refused because none of the instances that keep the quota of its tenant answered, and the local share was used up. The field suppressed is the number of lines left out.",
 		"None for some seconds after instances have failed. If it lasts, check the network between instances."}
 	CallerBounded = Event{871, "caller refused or disconnected by a limit", zerolog.WarnLevel,
-		"A request was refused, or a connection closed, to keep memory or descriptors within their limits. The field reason says why: body-refused and header-refused (no memory within the time to wait), body-too-long and header-too-long (over the limit of the desired state), body-stalled (not received before the deadline), slow-sender, slow-reader and unread (held memory without progress while others waited for it), idle, unused and stalled (no descriptor was left), response-refused (no memory for an endpoint's response). The field held is what the connection held, in bytes.",
+		"A request was refused, or a connection closed, to keep memory or descriptors within their limits. The field reason says why: body-refused and header-refused (no memory within the time to wait), body-too-long and header-too-long (over the limit of the desired state), body-stalled (not received before the deadline), slow-sender, slow-reader and unread (held memory without progress while others waited for it), idle, unused, closing and stalled (no descriptor was left), response-refused (no memory for an endpoint's response). The field held is what the connection held, in bytes.",
 		"None for single ones: the counters by reason are on the metrics address, in bounds. If ordinary callers are concerned, the machine has too little memory or too few descriptors for its load; see docs/design/bounded-memory.md."}
 	SocketBuffersDefault = Event{872, "socket buffers not bounded", zerolog.WarnLevel,
 		"The sizes of the kernel's buffers of callers' connections could not be set. What callers send before it is read may take more memory.",
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -107,6 +107,7 @@
 	if conn == nil {
 		conn = unguarded()
 	}
+	conn.setRequest(fields.ID)
 	req.charge = conn.beginRequest(r.Header)
 	defer req.charge.end()
 	defer conn.endRequest()
@@ -232,6 +233,7 @@
 	switch {
 	case a.CallerGone:
 		// Closes the connection without an answer.
+		conn.abort()
 		panic(http.ErrAbortHandler)
 	case a.Response != nil:
 		n := int64(len(a.Response.Body))
--- a/internal/forward/listener.go
+++ b/internal/forward/listener.go
@@ -1,9 +1,12 @@
 package forward
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jujubestile.example/jujubestile/internal/bound"
@@ -47,6 +50,8 @@
 // group is the set of open connections of a listener.
 type group struct {
 	limit int
+	// owing counts the connections that owe an answer.
+	owing atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*guardedConn]struct{}
@@ -80,6 +85,13 @@
 	return len(of.conns)
 }
 
+// all returns the open connections.
+func (of *group) all() []*guardedConn {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	return slices.Collect(maps.Keys(of.conns))
+}
+
 // collect appends the connections for which there is a reason to close them.
 func (of *group) collect(out []candidate, why func(*guardedConn) (bound.Reason, bool)) []candidate {
 	now := time.Now()
@@ -123,10 +135,11 @@
 }
 
 // leastUseful returns the connection to close when there is no room: the oldest that
-// has sent no whole request, or else the one that is idle for longest, or else the one
+// has sent no whole request, or else the one that its caller has not closed for longest
+// though the instance has, or else the one that is idle for longest, or else the one
 // that has made no progress for longest. It is false if all are in use.
 func (of *group) leastUseful(now time.Time) (candidate, bool) {
-	var unused, idle, stalled candidate
+	var unused, closing, idle, stalled candidate
 	older := func(c, than candidate) bool { return than.conn == nil || c.since < than.since }
 	of.mu.Lock()
 	defer of.mu.Unlock()
@@ -142,6 +155,10 @@
 			case time.Duration(now.UnixNano()-c.since) >= unusedAfter && older(c, unused):
 				unused = c
 			}
+		case phaseClosing:
+			if time.Duration(now.UnixNano()-c.since) >= unusedAfter && older(c, closing) {
+				closing = c
+			}
 		case phaseBody, phaseAnswer:
 			if a.stalled(now) >= stalledAfter && older(c, stalled) {
 				stalled = c
@@ -154,6 +171,9 @@
 	case unused.conn != nil:
 		chosen = unused
 		chosen.reason = bound.UnusedClosed
+	case closing.conn != nil:
+		chosen = closing
+		chosen.reason = bound.ClosingEnded
 	case idle.conn != nil:
 		chosen = idle
 		chosen.reason = bound.IdleClosed
--- a/internal/serve/listeners.go
+++ b/internal/serve/listeners.go
@@ -24,6 +24,7 @@
 // listeners holds the running servers of an instance.
 type listeners struct {
 	requests *http.Server
+	callers  forward.Listener
 	others   []*http.Server
 	rpc      *peer.Server
 	socket   *fleet.Socket
@@ -103,10 +104,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	callers, _ := in.settings.connLimits()
-	l.requests = &http.Server{Handler: in.handler, ConnContext: forward.ConnContext, ReadHeaderTimeout: headerTimeout,
+	limit, _ := in.settings.connLimits()
+	l.callers = in.guard.Listener(ln, limit)
+	l.requests = &http.Server{Handler: in.handler, ConnContext: forward.ConnContext, ConnState: forward.ConnState, ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	go func() { _ = l.requests.Serve(in.guard.Listener(ln, callers)) }() // Ends with close.
+	go func() { _ = l.requests.Serve(l.callers) }() // Ends with close.
 	return nil
 }
 
@@ -116,7 +118,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	s := &http.Server{Handler: in.guard.Handler(h), ConnContext: forward.ConnContext, ReadHeaderTimeout: headerTimeout,
+	s := &http.Server{Handler: in.guard.Handler(h), ConnContext: forward.ConnContext, ConnState: forward.ConnState, ReadHeaderTimeout: headerTimeout,
 		WriteTimeout: otherWriteTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	l.others = append(l.others, s)
 	_, limit := in.settings.connLimits()
@@ -144,7 +146,8 @@
 	return directory.Choose(q, instances, allowedRegions)
 }
 
-// drain moves callers to other instances and waits for the requests in flight:
+// drain moves callers to other instances and waits for the requests in flight and for
+// callers that still receive answers:
 // lookups stop naming the instance at once, and connections are closed after
 // their responses. Requests are sent to endpoints as long as they can be finished
 // before the process stops, after stopFraction of the grace period, and are refused
@@ -165,11 +168,16 @@
 	in.awaitIdle(ctx)
 	// The shutdown of the listener would cut a request that arrives from here on.
 	in.handler.Refuse()
-	in.awaitNone(ctx)
+	in.awaitAnswered(ctx, l)
 	in.handler.Wait(ctx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	_ = l.requests.Shutdown(closeCtx)
+	for _, s := range l.others {
+		_ = s.Shutdown(closeCtx)
+	}
+	in.awaitAnswered(ctx, l)
+	l.callers.LogUnfinished(in.log)
 	in.log.Log(events.Stopped).Int("cut", in.handler.InFlight()).Dur("took_ms", time.Since(started)).Send()
 }
 
@@ -205,10 +213,11 @@
 	}
 }
 
-// awaitNone waits until no request is in flight.
-func (in *Instance) awaitNone(ctx context.Context) {
+// awaitAnswered waits until no request is in flight and the callers have received all
+// answers.
+func (in *Instance) awaitAnswered(ctx context.Context, l *listeners) {
 	const step = 10 * time.Millisecond
-	for in.handler.InFlight() > 0 {
+	for in.handler.InFlight() > 0 || l.callers.Owing() > 0 {
 		select {
 		case <-ctx.Done():
 			return
