linger, daemon: instances of `run` deliver what they have written

What callers saw: an answer that breaks off with a reset when an instance of command run closes a connection behind it or exits, and refusals (503, 413, 400, 501, 431) that never arrive at callers which read only after they have sent the body: they have to take a request that has not run for one that may have.

Cause: as in `serve`, closed descriptors and an exiting process reset a connection whose caller still sends. `run` uses net/http without the guard of `serve`.

Change: linger.Listener closes connections in stages in the background, for the entry and the control listener. The stop waits for them, 5 s at most, and event 104 tells how many callers had not received all (`unreceived`).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/instancelist"
 	"jujubestile.example/jujubestile/internal/ledger"
+	"jujubestile.example/jujubestile/internal/linger"
 	"jujubestile.example/jujubestile/internal/lookup"
 	"jujubestile.example/jujubestile/internal/membership"
 	"jujubestile.example/jujubestile/internal/model"
@@ -87,6 +88,7 @@
 	lookups   *lookup.Service
 
 	servers    []*http.Server
+	listeners  []*linger.Listener
 	background sync.WaitGroup
 	// ready is set once the instance has been ready. notReadyLogged is set
 	// once it is logged that the instance did not become ready in time.
@@ -283,8 +285,9 @@
 	if err != nil {
 		return err
 	}
-	d.servers = append(d.servers, srv)
-	d.goBackground(func() { _ = srv.Serve(ln) })
+	staged := linger.NewListener(ln)
+	d.servers, d.listeners = append(d.servers, srv), append(d.listeners, staged)
+	d.goBackground(func() { _ = srv.Serve(staged) })
 	return nil
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -15,6 +15,9 @@
 	// leaveTimeout is the timeout for relinquishing the slots and leaving the
 	// membership.
 	leaveTimeout = 2 * time.Second
+	// lingerTimeout is the timeout for callers to receive what was written, after all
+	// other steps of a stop.
+	lingerTimeout = 5 * time.Second
 )
 
 // stop shuts the instance down gracefully: it announces that the instance is
@@ -29,7 +32,7 @@
 	unfinished := d.awaitRequests()
 	d.handOver()
 	d.leave()
-	d.log.Log(events.Stopped).Int("cut", unfinished).Send()
+	d.log.Log(events.Stopped).Int("cut", unfinished).Int("unreceived", d.closeServers()).Send()
 	return nil
 }
 
@@ -73,6 +76,23 @@
 	d.members.Leave(ctx)
 }
 
+// closeServers closes the listeners for callers and operators, and their connections. It
+// waits until what was written has been received, and returns the number of connections
+// where it has not been.
+func (d *Daemon) closeServers() int {
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lingerTimeout)
+	defer cancel()
+	unreceived := 0
+	for _, l := range d.listeners {
+		_ = l.Wait(ctx)
+		unreceived += l.Unreceived()
+	}
+	return unreceived
+}
+
 // close closes all listeners and connections.
 func (d *Daemon) close() {
 	for _, s := range d.servers {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -14,7 +14,7 @@
 		"A graceful shutdown or a drain has begun. Lookups no longer return the instance.",
 		"None. In a shutdown the process exits when its requests in flight have ended."}
 	Stopped = Event{104, "instance stopped", zerolog.InfoLevel,
-		"The graceful shutdown is complete. The field cut is the number of requests that were still in flight.",
+		"The graceful shutdown is complete. The field cut is the number of requests that were still in flight, unreceived that of connections whose callers had not received all of their answers.",
 		"If cut is not 0, raise shutdown.grace."}
 	StartFailed = Event{105, "instance start failed", zerolog.ErrorLevel,
 		"A listener or a file in the settings could not be opened.",
