jujubestiled: a log reader that ends does not end the process

What callers saw: nothing yet; found by reading. If the reader of standard output or standard error ends, such as a log collector that restarts, the process ends at its next log line and cuts all of its requests.

Cause: the Go runtime ends a process that writes to a broken pipe at descriptor 1 or 2 unless the program handles SIGPIPE.

Change: `run` and `serve` ignore SIGPIPE. Lines that cannot be written are dropped, as those that do not fit into the buffer.

--- a/cmd/jujubestiled/run.go
+++ b/cmd/jujubestiled/run.go
@@ -5,8 +5,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -57,7 +55,7 @@
 	if status != subcommands.ExitSuccess {
 		return status
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := handleSignals(ctx)
 	defer stop()
 	level, _ := zerolog.ParseLevel(s.Log.Level)
 	sink := events.NewSink(os.Stdout)
--- a/cmd/jujubestiled/serve.go
+++ b/cmd/jujubestiled/serve.go
@@ -52,7 +52,7 @@
 	}
 	// Signal handlers are installed before anything is started, so that no
 	// signal kills the process.
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := handleSignals(ctx)
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
