jujubestiled: SIGHUP does not end an instance

What callers saw: nothing yet; found by reading. SIGHUP ends an instance of command run at once, with all of its requests: an operator who expects it to read its settings again, or a terminal that closes. It also ends one of command serve that has not read its settings yet.

Cause: `run` did not handle SIGHUP, whose default action in Go is to end the process, and both commands installed their handlers after the settings had been read.

Change: both install the handlers first, and `run` checks its settings at SIGHUP and logs the result, as `serve` does.

TestSignalsThatDoNotEndTheProcess failed before for both commands ("signal: hangup" while the settings are read) and passes 3 of 3. It also sends SIGTERM again, SIGINT and SIGHUP during the stop, which ended neither command before.

--- a/cmd/jujubestiled/main.go
+++ b/cmd/jujubestiled/main.go
@@ -1,6 +1,6 @@
 // Command jujubestiled is the daemon of an entry instance.
 //
-//	jujubestiled run -config FILE     runs an instance until SIGTERM or SIGINT
+//	jujubestiled run -config FILE     runs an instance
 //	jujubestiled simulate             simulates the routing policy on load patterns
 //	jujubestiled serve                runs an instance on the users' platform
 //	jujubestiled check -config FILE   checks the settings and exits
--- a/cmd/jujubestiled/run.go
+++ b/cmd/jujubestiled/run.go
@@ -46,17 +46,19 @@
 type runCommand struct{ configFlag }
 
 func (*runCommand) Name() string     { return "run" }
-func (*runCommand) Synopsis() string { return "run the instance until SIGTERM or SIGINT" }
-func (*runCommand) Usage() string    { return "run -config FILE\n" }
+func (*runCommand) Synopsis() string { return "run an instance" }
+func (*runCommand) Usage() string {
+	return "run -config FILE\n\n" + signalUsage
+}
 
 // Execute implements subcommands.Command.
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, signals, stop := handleSignals(ctx)
+	defer stop()
 	s, status := c.load()
 	if status != subcommands.ExitSuccess {
 		return status
 	}
-	ctx, stop := handleSignals(ctx)
-	defer stop()
 	level, _ := zerolog.ParseLevel(s.Log.Level)
 	sink := events.NewSink(os.Stdout)
 	defer sink.Close(logFlushTimeout)
@@ -66,6 +68,10 @@
 		log.Log(events.StartFailed).Err(err).Send()
 		return subcommands.ExitFailure
 	}
+	go signals.checkOnReload(ctx, log, c.file, func() ([]string, error) {
+		_, err := settings.Load(c.file)
+		return nil, err
+	})
 	d := daemon.New(s, log, tracer)
 	d.PublishVars()
 	err = d.Run(ctx)
--- a/cmd/jujubestiled/serve.go
+++ b/cmd/jujubestiled/serve.go
@@ -5,8 +5,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -30,7 +28,7 @@
 func (*serveCommand) Name() string     { return "serve" }
 func (*serveCommand) Synopsis() string { return "run an entry instance on the users' platform" }
 func (*serveCommand) Usage() string {
-	return "serve [-config FILE] [-check]\n\nSIGTERM and SIGINT shut the instance down gracefully; SIGHUP checks the settings file again.\n"
+	return "serve [-config FILE] [-check]\n\n" + signalUsage
 }
 
 // SetFlags implements subcommands.Command.
@@ -41,6 +39,8 @@
 
 // Execute implements subcommands.Command.
 func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, signals, stop := handleSignals(ctx)
+	defer stop()
 	s, ignored, err := serve.Load(c.file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -50,12 +50,6 @@
 		fmt.Println("settings are valid")
 		return subcommands.ExitSuccess
 	}
-	// Signal handlers are installed before anything is started, so that no
-	// signal kills the process.
-	ctx, stop := handleSignals(ctx)
-	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	sink := events.NewSink(os.Stdout)
 	defer sink.Close(logFlushTimeout)
 	level, err := zerolog.ParseLevel(s.Log.Level)
@@ -65,24 +59,12 @@
 	}
 	log := events.New(sink, level, string(s.Instance))
 	log.Log(events.SettingsRead).Str("file", c.file).Strs("ignored", ignored).Send()
-	go c.checkOnReload(ctx, reload, log)
+	go signals.checkOnReload(ctx, log, c.file, func() ([]string, error) {
+		_, ignored, err := serve.Load(c.file)
+		return ignored, err
+	})
 	if err := serve.New(s, log).Run(ctx); err != nil {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
-
-// checkOnReload reads the settings file at each reload signal and logs the
-// result. It only checks the file, because addresses and names cannot change
-// while the process runs.
-func (c *serveCommand) checkOnReload(ctx context.Context, reload <-chan os.Signal, log events.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-reload:
-		}
-		_, ignored, err := serve.Load(c.file)
-		log.Log(events.SettingsRead).Str("file", c.file).Str("cause", "SIGHUP").Strs("ignored", ignored).AnErr("error", err).Send()
-	}
-}
--- a/internal/proctest/signals_test.go
+++ b/internal/proctest/signals_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -79,3 +80,47 @@
 		})
 	}
 }
+
+// Guards against a process that ends, with all of its requests, at a signal that has
+// another meaning, or at a second one that asks it to stop: SIGHUP before the settings are
+// read and while it runs, and all of them during a stop.
+func TestSignalsThatDoNotEndTheProcess(t *testing.T) {
+	for _, command := range daemonCommands {
+		t.Run(command, func(t *testing.T) {
+			t.Parallel()
+			const pause = 200 * time.Millisecond
+			file := filepath.Join(t.TempDir(), "settings.json")
+			if err := syscall.Mkfifo(file, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer log.Close()
+			p, exited := startDaemon(t, command, file, log)
+			stays(t, exited, pause) // It waits for its settings.
+			_ = p.Signal(syscall.SIGHUP)
+			stays(t, exited, pause)
+			if err := os.WriteFile(file, settingsOf(t, command), 0); err != nil {
+				t.Fatal(err)
+			}
+			stays(t, exited, pause)
+			_ = p.Signal(syscall.SIGHUP)
+			stays(t, exited, pause)
+			for _, s := range []os.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP} {
+				_ = p.Signal(s)
+				stays(t, exited, pause/4)
+			}
+			select {
+			case err := <-exited:
+				if err != nil {
+					text, _ := os.ReadFile(log.Name())
+					t.Errorf("the stop has failed: %v\n%s", err, text)
+				}
+			case <-time.After(10 * time.Second):
+				t.Error("the process has not stopped")
+			}
+		})
+	}
+}
