httpstrict: a response before a reset is read

What callers saw: with package client, a refusal (413, 503) that arrives while the body is still being sent is taken for an unknown outcome if the instance resets the connection behind it: the request is not sent again although it has not run. The same holds for jujubectl and for calls to the store.

Cause: net/http gives up a request when writing it fails, though its response may have been received. The other way round, a response without a length passed for a complete one if the reset was reported to the writer: the reader then sees a normal end.

Change: the connection hides a reset in the middle of a request from net/http, so that what was received decides, and reads the end of a connection as the reset that its writer got.

--- a/internal/httpstrict/transport.go
+++ b/internal/httpstrict/transport.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 )
 
 // defaultMaxHead is the largest head of a response, in bytes, if the transport has no
@@ -53,6 +56,13 @@
 
 	mu   sync.Mutex
 	head head
+
+	// writing guards the fields below. Write holds it.
+	writing sync.Mutex
+	// writeErr is set once the peer has reset the connection, and wrote once a part of
+	// the request has been written.
+	writeErr error
+	wrote    bool
 }
 
 // expect begins the head of a response: a request is about to be written.
@@ -60,6 +70,37 @@
 	c.mu.Lock()
 	c.head.reset()
 	c.mu.Unlock()
+	c.writing.Lock()
+	c.wrote = false
+	c.writing.Unlock()
+}
+
+// Write implements net.Conn. It does not report a reset in the middle of a request: the
+// peer may have responded before, and net/http would discard the response. Read tells
+// whether it has.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := 0, c.writeErr
+	if err == nil {
+		n, err = c.Conn.Write(p)
+	}
+	c.wrote = c.wrote || n > 0
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		c.writeErr = err
+		if c.wrote {
+			return len(p), nil
+		}
+	}
+	return n, err // Not wrapped: net/http checks its type.
+}
+
+// resetError returns the error of a write, which it waits for, if the peer has reset the
+// connection.
+func (c *conn) resetError() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr
 }
 
 // Read implements net.Conn.
@@ -71,6 +112,12 @@
 		return 0, bad
 	}
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		// The kernel reports a reset once, which may have been to a writer.
+		if reset := c.resetError(); reset != nil {
+			err = reset
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if bad := c.head.check(p[:n]); bad != nil {
--- a/internal/httpstrict/transport_test.go
+++ b/internal/httpstrict/transport_test.go
@@ -21,6 +21,12 @@
 // startServer starts a server that sends the answers to the requests of a connection, one
 // after the other, and closes it.
 func startServer(t *testing.T, answers ...string) (url string) {
+	t.Helper()
+	return startServerThatClosesAfter(t, 0, answers...)
+}
+
+// startServerThatClosesAfter starts a server that closes a connection after a pause.
+func startServerThatClosesAfter(t *testing.T, pause time.Duration, answers ...string) (url string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -40,6 +46,7 @@
 				}
 				_, _ = io.WriteString(c, answer)
 			}
+			time.Sleep(pause)
 			_ = c.Close()
 		}
 	})
