httpstrict: the server of a test delivers its responses

The server closes connections in stages now, and its last response names the close. The tests that need a reset ask for one.

--- a/internal/httpstrict/reset_test.go
+++ b/internal/httpstrict/reset_test.go
@@ -17,7 +17,7 @@
 // Guards against a response that is discarded because the server, which has not read the
 // whole request, resets the connection behind it.
 func TestEarlyResponseBeforeAReset(t *testing.T) {
-	url := startServer(t, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\nConnection: close\r\n\r\nno")
+	url := startServerThatClosesAfter(t, 0, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\nConnection: close\r\n\r\nno")
 	client := newClient(t)
 	for range resets {
 		status, body, err := get(client, url, bytes.NewReader(make([]byte, unreadBody)))
--- a/internal/httpstrict/transport_test.go
+++ b/internal/httpstrict/transport_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"jujubestile.example/jujubestile/internal/httpstrict"
+	"jujubestile.example/jujubestile/internal/linger"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -22,11 +23,18 @@
 // after the other, and closes it.
 func startServer(t *testing.T, answers ...string) (url string) {
 	t.Helper()
-	return startServerThatClosesAfter(t, 0, answers...)
+	return startServerThatEnds(t, linger.Drain, answers...)
 }
 
-// startServerThatClosesAfter starts a server that closes a connection after a pause.
+// startServerThatClosesAfter starts a server that closes a connection after a pause,
+// whether or not the body of the last request has been read.
 func startServerThatClosesAfter(t *testing.T, pause time.Duration, answers ...string) (url string) {
+	t.Helper()
+	return startServerThatEnds(t, func(net.Conn) { time.Sleep(pause) }, answers...)
+}
+
+// startServerThatEnds starts a server that calls end before it closes a connection.
+func startServerThatEnds(t *testing.T, end func(net.Conn), answers ...string) (url string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,7 +54,7 @@
 				}
 				_, _ = io.WriteString(c, answer)
 			}
-			time.Sleep(pause)
+			end(c)
 			_ = c.Close()
 		}
 	})
@@ -101,7 +109,8 @@
 func TestTransportReadsResponses(t *testing.T) {
 	body := strings.Repeat("\x00 \r\n", 10<<10)
 	early := "HTTP/1.1 200 OK\r\nContent-Length: 40960\r\n\r\n" + body
-	url := startServer(t, early, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"+early, early)
+	last := strings.Replace(early, "\r\n", "\r\nConnection: close\r\n", 1)
+	url := startServer(t, early, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"+early, last)
 	client := newClient(t) // Closed before the server, which waits for that.
 	for i := range 3 {
 		if status, got, err := get(client, url, strings.NewReader(strings.Repeat("b", 100))); err != nil || status != 200 || got != body {
