entry: an answer does not wait for a body without use

What callers saw: an instance of command run that refuses a request (404, 503, 405) or answers a lookup does so only once the body has arrived, however slowly, up to 256 KB of it: a caller whose body stalls never learns that its request has not run. Its connection keeps a stop waiting to the end of the grace period.

Cause: net/http reads the rest of a body before it sends an answer that keeps the connection, without a time limit of its own.

Change: a body of up to 64 KB is read for 200 ms before the answer. Otherwise the connection ends with the answer, which is sent at once, and is closed in stages. `serve` does the same.

--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -14,9 +14,10 @@
 // entryHandler returns the handler of the entry address: it serves lookups and
 // the requests of callers.
 func (d *Daemon) entryHandler() http.Handler {
+	lookups := entry.WithoutBody(d.lookups)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == pathEntries && r.Method == http.MethodGet {
-			d.lookups.ServeHTTP(w, r)
+			lookups.ServeHTTP(w, r)
 			return
 		}
 		d.entry.ServeHTTP(w, r)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -166,8 +166,12 @@
 	// of the memory that a daemon may use.
 	maxBufferedBytes   = 32 << 20
 	defaultBodyTimeout = 5 * time.Second
-	headerTimeout      = 5 * time.Second
-	idleTimeout        = time.Minute
+	// maxDiscarded is the size up to which a body without use is read, so that the
+	// connection can be used again, and discardTimeout the time limit for that.
+	maxDiscarded   = 64 << 10
+	discardTimeout = 200 * time.Millisecond
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = time.Minute
 	// writeTimeout limits the time in which a caller receives its response.
 	writeTimeout = 30 * time.Second
 	// closeTimeout limits the time to close the key of a request that is refused
@@ -209,8 +213,8 @@
 	h.router.Use(h.trackInFlight, h.recover)
 	h.router.HandleFunc(servicesPath+"{service}", h.service)
 	h.router.HandleFunc(servicesPath+"{service}/*", h.service)
-	h.router.Get("/v1/outcomes/{key}", h.outcome)
-	h.router.Get("/v1/entries", h.entries)
+	h.router.With(WithoutBody).Get("/v1/outcomes/{key}", h.outcome)
+	h.router.With(WithoutBody).Get("/v1/entries", h.entries)
 	h.router.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		h.refuse(w, r, newProblem(http.StatusNotFound, "no-such-path", "No such path", ""))
 	})
@@ -292,6 +296,7 @@
 		p.Outcome = h.closeKey(r.Context(), key)
 	}
 	p.KeyPrefix = h.cfg.Ledger.Prefix()
+	discardBody(w, r)
 	p.write(w)
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -161,6 +161,34 @@
 	return body, nil
 }
 
+// WithoutBody is middleware for requests whose body has no use.
+func WithoutBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		discardBody(w, r)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// discardBody reads a short body of a request that is answered without it. Otherwise the
+// connection is closed after the answer. net/http would read up to 256 KB before it sends
+// the answer, however slowly they arrive.
+func discardBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	control := http.NewResponseController(w)
+	// httptest.ResponseRecorder does not support deadlines.
+	if r.ContentLength > 0 && r.ContentLength <= maxDiscarded {
+		_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			_ = control.SetReadDeadline(time.Time{})
+			return
+		}
+	}
+	w.Header().Set("Connection", "close")
+	_ = control.SetReadDeadline(time.Now())
+}
+
 func bodyProblem(err error) *Problem {
 	var tooLarge *http.MaxBytesError
 	var timeout interface{ Timeout() bool }
