forward: the response of the only endpoint of a region is awaited

What callers saw: in command run, a 502 at the deadline to a repeatable request whose endpoint takes longer than the hedge delay (0.1 s for a new service), if no other endpoint of the service is in the region.

Cause: an attempt that exceeds the hedge delay while no second one can start is cancelled and its connection reset, so that its slot is used at another endpoint. Nothing checked that there is one: the response was lost, and the request waited for an endpoint until its deadline.

Change: the attempt goes on if the region has no other usable endpoint.

TestSlowResponseOfTheOnlyEndpoint failed before with one slot ("unknown (no-endpoint) after 1 attempts") and passes. Found with real processes: a fleet with one endpoint in the region got no answer within 10 s.

--- a/internal/forward/admission_test.go
+++ b/internal/forward/admission_test.go
@@ -422,6 +422,28 @@
 	})
 }
 
+// Guards against cancelling a request whose response is slow if there is no other endpoint
+// for it: the response would be lost, and the request end without one at its deadline.
+func TestSlowResponseOfTheOnlyEndpoint(t *testing.T) {
+	const work, wait = 300 * time.Millisecond, 2 * time.Second
+	for _, slots := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newAdmittedEngine(slots, func(ctx context.Context, _ int, _ exchange.Target, _ *exchange.Call) exchange.Result {
+				select {
+				case <-ctx.Done():
+					return exchange.Result{Outcome: exchange.Abandoned, Err: context.Cause(ctx)}
+				case <-time.After(work):
+					return ok("")
+				}
+			})
+			g.admission.order = g.admission.order[:1] // Region a, with one endpoint.
+			if a := g.Do(t.Context(), testRequest(true, wait)); a.Outcome != model.OutcomeAnswered {
+				t.Errorf("%d slots: %s (%s) after %d attempts", slots, a.Outcome, a.Reason, a.Attempts)
+			}
+		})
+	}
+}
+
 // Guards against cancelling a request with a very short processing time as soon
 // as its endpoint pauses, for example for a garbage collection.
 func TestFastRequestSurvivesEndpointPause(t *testing.T) {
--- a/internal/forward/attempt_admission.go
+++ b/internal/forward/attempt_admission.go
@@ -28,9 +28,10 @@
 // cancelSlow cancels an attempt that exceeded the hedge delay while no slot
 // was free for a second one. With admission control its slot is better used at
 // another endpoint: this endpoint may have failed, or the connection may no
-// longer work.
+// longer work. Without another endpoint in the region that the slot is for, the
+// response is awaited.
 func (ex *execution) cancelSlow() {
-	if ex.cfg.Admission == nil {
+	if ex.cfg.Admission == nil || ex.cfg.Table.Usable(ex.service, ex.last.Region, time.Now()) < 2 {
 		return
 	}
 	for _, cancel := range ex.cancels {
