events: closing the log does not end the process

What callers saw: nothing; found by reading. A process that stops closes its log while requests that the stop has cut, and attempts that go on without their callers, may still log their end: the process would crash, with the last lines unwritten.

Cause: Sink.Close closes the channel that Write sends to.

Change: Close tells the writing goroutine to write what is buffered; lines that come later are dropped.

TestSinkIsClosedWhileLinesAreWritten failed before ("send on closed channel") and passes 3 of 3 with -race.

--- a/internal/events/sink.go
+++ b/internal/events/sink.go
@@ -23,13 +23,14 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	total   atomic.Int64
-	done    chan struct{}
-	once    sync.Once
+	// closing is closed by Close, done once the buffered lines have been written.
+	closing, done chan struct{}
+	once          sync.Once
 }
 
 // NewSink returns a sink that writes to out.
 func NewSink(out io.Writer) *Sink {
-	s := &Sink{out: out, lines: make(chan []byte, sinkLines), done: make(chan struct{})}
+	s := &Sink{out: out, lines: make(chan []byte, sinkLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go s.run()
 	return s
 }
@@ -50,9 +51,9 @@
 func (s *Sink) Dropped() int64 { return s.total.Load() }
 
 // Close writes the buffered lines. It returns after the timeout even if some are
-// left. Write must not be called after Close.
+// left. Lines of requests that end later are dropped.
 func (s *Sink) Close(timeout time.Duration) {
-	s.once.Do(func() { close(s.lines) })
+	s.once.Do(func() { close(s.closing) })
 	select {
 	case <-s.done:
 	case <-time.After(timeout):
@@ -62,7 +63,11 @@
 func (s *Sink) run() {
 	defer close(s.done)
 	reported := time.Now()
-	for line := range s.lines {
+	for {
+		line, ok := s.next()
+		if !ok {
+			return
+		}
 		// A write error cannot be logged, because the log itself has failed.
 		_, _ = s.out.Write(line)
 		if s.dropped.Load() > 0 && time.Since(reported) > dropReportInterval {
@@ -74,6 +79,21 @@
 	}
 }
 
+// next waits for a line. It returns false once the sink is closing and no line is left.
+func (s *Sink) next() ([]byte, bool) {
+	select {
+	case line := <-s.lines:
+		return line, true
+	case <-s.closing:
+	}
+	select {
+	case line := <-s.lines:
+		return line, true
+	default:
+		return nil, false
+	}
+}
+
 // Limiter limits the rate of log lines of one kind. It is safe for concurrent
 // use.
 type Limiter struct {
