forward: an ended connection owes no answer

Callers saw nothing; a planned stop lasted until the end of the grace period. The guard closes an idle connection to make room while net/http holds a request of it that was pipelined. The request began after the connection had ended, and its answer counted as owed for ever: Owing stayed above 0 until the process ended.

An ended connection does not owe an answer any more.

--- a/internal/forward/conn_close.go
+++ b/internal/forward/conn_close.go
@@ -71,9 +71,10 @@
 	return err
 }
 
-// setOwesAnswer sets whether an answer is owed. The caller holds the mutex.
+// setOwesAnswer sets whether an answer is owed, which nothing is once the connection has
+// ended. The caller holds the mutex.
 func (a *guardedConn) setOwesAnswer(owes bool) {
-	if a.owesAnswer == owes {
+	if a.owesAnswer == owes || owes && a.ended {
 		return
 	}
 	a.owesAnswer = owes
--- a/internal/forward/conn_close_test.go
+++ b/internal/forward/conn_close_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"jujubestile.example/jujubestile/internal/bound"
 )
 
 // Guards against an answer that is cut because its connection is closed while the caller
@@ -69,9 +71,7 @@
 // dialSmallBuffer opens a connection that takes few bytes until they are read.
 func dialSmallBuffer(t *testing.T, addr string) net.Conn {
 	t.Helper()
-	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
-	}}
+	d := net.Dialer{Control: smallReceiveBuffer}
 	c, err := d.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
@@ -80,6 +80,11 @@
 	return c
 }
 
+// smallReceiveBuffer is for net.Dialer.Control.
+func smallReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+}
+
 // Guards against a connection that is kept for a caller which neither reads nor leaves:
 // it is closed when the listener needs its place.
 func TestClosingConnectionsMakeRoom(t *testing.T) {
@@ -96,3 +101,21 @@
 		t.Errorf("no room for another connection: %v", err)
 	}
 }
+
+// Guards against a planned stop that waits until the end of the grace period for a
+// connection that was closed to make room: its last request, which net/http had read
+// before, began later.
+func TestEndedConnectionOwesNothing(t *testing.T) {
+	g := NewGuard(GuardConfig{})
+	of := newGroup(0)
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	a := g.newConn(ours, of)
+	if !g.evict(a.candidate(bound.IdleClosed, time.Now())) {
+		t.Fatal("the connection was not closed")
+	}
+	a.beginRequest(http.Header{}).end()
+	if n := of.owing.Load(); n != 0 || g.Stats().Used != 0 {
+		t.Errorf("%d connections owe an answer, %+v", n, g.Stats())
+	}
+}
