forward: a closed connection owes its answer until it has ended

net/http marks a connection as idle before it reports that. Shutdown may close it in between; the report then ended the wait for an answer that the caller had not received, and the process could exit. Found by reading; TestClosedConnectionOwesItsAnswer calls both in that order and fails without the change.

--- a/internal/forward/conn_close.go
+++ b/internal/forward/conn_close.go
@@ -100,6 +100,8 @@
 		return
 	}
 	a.mu.Lock()
-	a.setOwesAnswer(false)
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	if !a.closed { // Otherwise the read loop waits for the caller.
+		a.setOwesAnswer(false)
+	}
 }
--- a/internal/forward/conn_close_test.go
+++ b/internal/forward/conn_close_test.go
@@ -119,3 +119,28 @@
 		t.Errorf("%d connections owe an answer, %+v", n, g.Stats())
 	}
 }
+
+// Guards against a planned stop that does not wait for an answer, because net/http
+// reports the connection as idle after it was closed from elsewhere.
+func TestClosedConnectionOwesItsAnswer(t *testing.T) {
+	g := NewGuard(GuardConfig{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l := g.Listener(ln, 0)
+	dialAndSend(t, ln.Addr().String(), "")
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := c.(*guardedConn)
+	defer a.closeNow()
+	a.beginRequest(http.Header{}).end()
+	_ = a.Close()
+	ConnState(a, http.StateIdle)
+	if n := l.Owing(); n != 1 {
+		t.Errorf("%d connections owe an answer, want 1", n)
+	}
+}
