--- a/internal/forward/conn_close.go
+++ b/internal/forward/conn_close.go
@@ -71,9 +71,10 @@
 	return err
 }
 
-// setOwesAnswer sets whether an answer is owed. The caller holds the mutex.
+// setOwesAnswer sets whether an answer is owed, which nothing is once the connection has
+// ended. The caller holds the mutex.
 func (a *guardedConn) setOwesAnswer(owes bool) {
-	if a.owesAnswer == owes {
+	if a.owesAnswer == owes || owes && a.ended {
 		return
 	}
 	a.owesAnswer = owes
@@ -99,6 +100,8 @@
 		return
 	}
 	a.mu.Lock()
-	a.setOwesAnswer(false)
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	if !a.closed { // Otherwise the read loop waits for the caller.
+		a.setOwesAnswer(false)
+	}
 }
