daemon: the control listener has the limits of its API

What operators saw: nothing yet; found by reading. A request to the control listener whose body stalls keeps its connection without end, and a stop waits for it to the end of the grace period.

Cause: the listener was served with the limits for callers, which leave the time for a body to their handler. control.NewServer, which bounds it, was not used.

Change: it is: 2 s for a header section, 10 s for a request.

TestControlListenerHasLimits failed before (an unfinished header section was kept for more than 4 s) and passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"jujubestile.example/jujubestile/internal/admission"
 	"jujubestile.example/jujubestile/internal/capacity"
 	"jujubestile.example/jujubestile/internal/configsync"
+	"jujubestile.example/jujubestile/internal/control"
 	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/entry"
 	"jujubestile.example/jujubestile/internal/events"
@@ -244,7 +245,7 @@
 	if err := d.serve(d.settings.Listen.Entry, entry.NewServer(withTracing(d.tracer, d.entryHandler()))); err != nil {
 		return err
 	}
-	if err := d.serve(d.settings.Listen.Control, entry.NewServer(d.controlHandler())); err != nil {
+	if err := d.serve(d.settings.Listen.Control, control.NewServer(d.controlHandler())); err != nil {
 		return err
 	}
 	d.goBackground(func() { d.members.Run(ctx) })
--- a/internal/proctest/run_answers_test.go
+++ b/internal/proctest/run_answers_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -100,3 +102,22 @@
 		_ = c.Close()
 	}
 }
+
+// Guards against a control listener without the limits of its API: a request whose body
+// stalls would keep its connection, and a stop, waiting without end.
+func TestControlListenerHasLimits(t *testing.T) {
+	f := newFleet(t, fleetConfig{instances: 1})
+	addr := f.instances[0].controlAddr
+	eventually(t, readyTimeout, "answer", func() bool { return get(t, "http://"+addr+"/v1/status") != "" })
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	const within = 4 * time.Second // The limit for a header section is 2 s, that of callers 5 s.
+	_ = c.SetDeadline(time.Now().Add(within))
+	write(c, "POST /v1/drain HTTP/1.1\r\nHost: h\r\n")
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection is kept: %v", err)
+	}
+}
