forward: an answer on its way is not cut to make room

Callers at the limit of connections lost answers that endpoints had given. A listener without room closed the connection that was idle for longest, however short that was: its answer could still be in net/http's buffer or in the kernel's. A request that the caller sent next reset the connection, and the kernel dropped the rest.

A connection whose caller still receives the last answer is in use, for up to a second without progress, as one whose answer is being written is.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -90,6 +90,10 @@
 	// paused is set while bytes are left unread, whole once the request that is handled
 	// has been received completely, until it is answered.
 	paused, whole atomic.Bool
+	// owesAnswer is set from the beginning of a request until its answer has been
+	// written and another request may follow, or until the connection has ended. It
+	// changes with the mutex held.
+	owesAnswer atomic.Bool
 
 	mu   sync.Mutex
 	cond *sync.Cond
@@ -104,9 +108,6 @@
 	// closed is set by Close, ended once the descriptor is closed as well, aborted if
 	// the connection is to be closed without the answer that it owes.
 	closed, ended, aborted bool
-	// owesAnswer is set from the beginning of a request until its answer has been
-	// written and another request may follow, or until the connection has ended.
-	owesAnswer bool
 	// request is the ID of the last request, for logs.
 	request string
 	// charges are the bytes charged for header sections, by class, and aheadCharge
--- a/internal/forward/conn_close.go
+++ b/internal/forward/conn_close.go
@@ -42,7 +42,7 @@
 	if a.err != nil {
 		return false // The caller has left, or the guard closes the connection.
 	}
-	idle := phase(a.phase.Load()) == phaseIdle && !a.owesAnswer
+	idle := phase(a.phase.Load()) == phaseIdle && !a.owesAnswer.Load()
 	if idle || a.aborted {
 		return linger.Unacknowledged(a.Conn) > 0
 	}
@@ -74,10 +74,10 @@
 // setOwesAnswer sets whether an answer is owed, which nothing is once the connection has
 // ended. The caller holds the mutex.
 func (a *guardedConn) setOwesAnswer(owes bool) {
-	if a.owesAnswer == owes || owes && a.ended {
+	if a.owesAnswer.Load() == owes || owes && a.ended {
 		return
 	}
-	a.owesAnswer = owes
+	a.owesAnswer.Store(owes)
 	if owes {
 		a.group.owing.Add(1)
 	} else {
--- a/internal/forward/conn_close_test.go
+++ b/internal/forward/conn_close_test.go
@@ -144,3 +144,36 @@
 		t.Errorf("%d connections owe an answer, want 1", n)
 	}
 }
+
+// Load pattern: callers at the limit of connections, one of which still reads an answer
+// and reuses its connection. Guards against an answer that is cut to make room for another
+// connection, though it makes progress, and against a place that is held for ever by a
+// caller which does not read.
+func TestUnreceivedAnswerIsNotCutToMakeRoom(t *testing.T) {
+	const size = 150 << 10
+	g := NewGuard(GuardConfig{})
+	addr := startGuarded(t, g, 1, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	}))
+	first := dialSmallBuffer(t, addr)
+	defer first.Close()
+	_, _ = io.WriteString(first, oneRequest)
+	time.Sleep(100 * time.Millisecond) // The answer is in the kernel's buffers.
+	second := dialAndSend(t, addr, oneRequest)
+	for range 2 {
+		time.Sleep(2 * roomInterval)
+		_, _ = io.WriteString(first, oneRequest)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(first), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != size {
+		t.Errorf("%d of %d bytes: %v", n, size, err)
+	}
+	_ = second.SetReadDeadline(time.Now().Add(5 * time.Second)) // The first caller reads no further answer.
+	if _, err := second.Read(make([]byte, 1)); err != nil {
+		t.Errorf("no room for another connection: %v", err)
+	}
+}
--- a/internal/forward/listener.go
+++ b/internal/forward/listener.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"jujubestile.example/jujubestile/internal/bound"
+	"jujubestile.example/jujubestile/internal/linger"
 )
 
 // Listener accepts connections that detect at once when the caller closes them.
@@ -137,7 +138,8 @@
 // leastUseful returns the connection to close when there is no room: the oldest that
 // has sent no whole request, or else the one that its caller has not closed for longest
 // though the instance has, or else the one that is idle for longest, or else the one
-// that has made no progress for longest. It is false if all are in use.
+// that has made no progress for longest. It is false if all are in use, which those are
+// whose callers still receive an answer.
 func (of *group) leastUseful(now time.Time) (candidate, bool) {
 	var unused, closing, idle, stalled candidate
 	older := func(c, than candidate) bool { return than.conn == nil || c.since < than.since }
@@ -149,14 +151,14 @@
 		case phaseIdle, phaseHeader:
 			switch {
 			case a.served.Load() && p == phaseIdle:
-				if older(c, idle) {
+				if older(c, idle) && !a.receives(now) {
 					idle = c
 				}
 			case time.Duration(now.UnixNano()-c.since) >= unusedAfter && older(c, unused):
 				unused = c
 			}
 		case phaseClosing:
-			if time.Duration(now.UnixNano()-c.since) >= unusedAfter && older(c, closing) {
+			if time.Duration(now.UnixNano()-c.since) >= unusedAfter && older(c, closing) && !a.receives(now) {
 				closing = c
 			}
 		case phaseBody, phaseAnswer:
@@ -181,6 +183,12 @@
 	return chosen, chosen.conn != nil
 }
 
+// receives reports whether the caller may still be receiving the last answer, whose
+// handler has ended. A caller has stalledAfter for what is in the kernel's buffers then.
+func (a *guardedConn) receives(now time.Time) bool {
+	return a.stalled(now) < stalledAfter && (a.owesAnswer.Load() && phase(a.phase.Load()) == phaseIdle || linger.Unacknowledged(a.Conn) > 0)
+}
+
 // Handler returns a handler for a listener of the guard whose requests have no use
 // for a body: it is not read.
 func (g *Guard) Handler(next http.Handler) http.Handler {
