serve: a stop ends within the grace period if each step is slow

A stopping process was killed at the end of the grace period if a caller had just sent half a first request, the store did not respond and the reader of the log was stuck: closing, withdrawing and writing the log together took all that was left. Writing the log was not counted.

Closing waits 20 ms instead of 100 ms for such connections, which owe no answer; answers are awaited before and after. The time at which the wait for requests ends is the same.

--- a/internal/proctest/serve_test.go
+++ b/internal/proctest/serve_test.go
@@ -32,6 +32,7 @@
 	requests, ready, lookups, metrics string
 	cmd                               *exec.Cmd
 	exited                            chan error
+	stdout                            io.Writer
 	maxResident, maxFiles             int
 }
 
@@ -44,6 +45,11 @@
 	// serviceTime is the time that a request takes, responseBytes the size of responses.
 	serviceTime   time.Duration
 	responseBytes int
+	// proxy returns the address at which the process reaches the store, given the
+	// store's. It may be nil.
+	proxy func(string) string
+	// stdout is the process's, or nil for one that is printed if the test fails.
+	stdout io.Writer
 }
 
 // startServe starts a process with the given limits of its machine and waits until
@@ -74,11 +80,15 @@
 	routes := []standin.Route{{Name: "safe", Host: serveHost, Prefix: "/safe/", Repeatable: true, Service: "s", Timeout: 5 * time.Second, Target: time.Second},
 		{Name: "pay", Host: serveHost, Prefix: "/pay/", Service: "s", Timeout: 5 * time.Second, Target: time.Second}}
 	store.PutState(standin.WithLimits(standin.EncodeDesiredState(1, 5, []string{"s"}, routes), serveHeaderBytes, serveBodyBytes))
-	s := &serveProcess{t: t, requests: reserveAddr(t), ready: reserveAddr(t), lookups: reserveAddr(t), metrics: reserveAddr(t)}
+	s := &serveProcess{t: t, requests: reserveAddr(t), ready: reserveAddr(t), lookups: reserveAddr(t), metrics: reserveAddr(t), stdout: cfg.stdout}
+	storeAddr := store.Addr()
+	if cfg.proxy != nil {
+		storeAddr = cfg.proxy(storeAddr)
+	}
 	s.run(map[string]any{
 		"instance": "i1", "region": "a", "domain": "a1", "domains": map[string]string{"a1": "a"},
 		"listen": map[string]string{"requests": s.requests, "ready": s.ready, "lookups": s.lookups, "metrics": s.metrics, "peer": reserveAddr(t)},
-		"store":  map[string]string{"address": store.Addr()},
+		"store":  map[string]string{"address": storeAddr},
 		"bounds": map[string]any{"grace": cfg.grace.String(), "retry_ratio": 0.2, "retry_slack": 120, "retry_window": "10s", "max_shift": 0.15},
 		"seeds":  []string{}, "memory_mb": cfg.memoryMB, "max_files": cfg.maxFiles, "log": map[string]string{"level": "info"},
 	})
@@ -100,6 +110,9 @@
 	var log bytes.Buffer
 	s.cmd = exec.Command(binary, "serve", "-config", file)
 	s.cmd.Stdout, s.cmd.Stderr = &log, &log
+	if s.stdout != nil {
+		s.cmd.Stdout = s.stdout
+	}
 	if err := s.cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/serve/listeners.go
+++ b/internal/serve/listeners.go
@@ -192,10 +192,13 @@
 	// exit before stopFraction of the grace period is over.
 	idleBeforeExit = 300 * time.Millisecond
 	// exitTime is what is left of the grace period for all that follows the wait for
-	// requests: closing connections and withdrawing the announcement.
-	exitTime = closeTimeout + withdrawTimeout + 100*time.Millisecond
-	// closeTimeout bounds closing the remaining idle connections.
-	closeTimeout = 100 * time.Millisecond
+	// requests: closing connections, withdrawing the announcement, and writing the log,
+	// which is bounded by logTime.
+	exitTime = closeTimeout + withdrawTimeout + logTime + 80*time.Millisecond
+	logTime  = 100 * time.Millisecond
+	// closeTimeout bounds the wait for connections that have sent a part of a first
+	// request.
+	closeTimeout = 20 * time.Millisecond
 )
 
 // awaitIdle waits until no request has been in flight for idleBeforeExit.
