exchange: the end of a connection waits for a short request to be written

What callers saw: nothing yet. A test failed beside load: an endpoint that crashes at once on a request was not seen to crash, so that the request would go on to others.

Cause: whether the endpoint had got the whole request is asked when its connection ends. The goroutine that has written the request may not have said so by then.

Change: for a request whose writing cannot block, the reader waits for that.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -47,8 +47,9 @@
 	// reused means that the connection has been used for another exchange before.
 	reused bool
 	done   chan Result
-	// written is closed when the request has been written or writing it has failed
-	// with writeErr.
+	// short means that writing the request does not block. written is closed when it has
+	// been written or writing it has failed with writeErr.
+	short    bool
 	written  chan struct{}
 	writeErr error
 }
@@ -64,10 +65,11 @@
 // received or the context ends.
 func (c *conn) exchange(ctx context.Context, call *Call, head []byte) Result {
 	w := &pendingExchange{req: &http.Request{Method: call.Method}, id: call.ID, done: make(chan Result, 1), written: make(chan struct{})}
+	w.short = len(call.MoreBody) == 0 && len(head)+len(call.Body) <= maxInlineWrite
 	if !c.begin(w) {
 		return Result{Outcome: NotSent, Err: errConnClosed}
 	}
-	if len(call.MoreBody) == 0 && len(head)+len(call.Body) <= maxInlineWrite {
+	if w.short {
 		c.write(w, call.Deadline, append(head, call.Body...))
 	} else {
 		go c.write(w, call.Deadline, head, append([][]byte{call.Body}, call.MoreBody...)...)
--- a/internal/exchange/delivery.go
+++ b/internal/exchange/delivery.go
@@ -49,6 +49,9 @@
 // delivered reports whether the endpoint's host has acknowledged the whole request, as
 // far as is known now.
 func (c *conn) delivered(w *pendingExchange) bool {
+	if w.short {
+		<-w.written // Read may report the end of the connection first.
+	}
 	select {
 	case <-w.written:
 	default:
