--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -47,6 +47,13 @@
 	binary, dir string
 	// network is the prefix of the instances' loopback addresses.
 	network string
+	// grace is the grace period of the instances. routes returns the routes of a
+	// version of the desired state, and endpoint changes the settings of new endpoints;
+	// both may be nil. direct lists endpoints at their own addresses, without proxies.
+	grace    time.Duration
+	routes   func(version int) []standin.Route
+	endpoint func(*standin.EndpointConfig)
+	direct   bool
 	// ports are the ports that each instance listens on, at its own address.
 	ports     []*freeport.Port
 	Store     *standin.Store
@@ -75,6 +82,7 @@
 type Instance struct {
 	name, ip, domain string
 	entry, lookups   string
+	ready            string
 	config           string
 	// storeProxy is between the instance and the store, callerProxy between
 	// callers and the instance.
@@ -125,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Cluster{binary: binary, dir: dir, network: fmt.Sprintf("127.8.%d.", seed%250), Store: store, acked: map[int]time.Time{}, evacuated: map[string]time.Time{}}
+	w := &Cluster{binary: binary, dir: dir, network: fmt.Sprintf("127.8.%d.", seed%250), Store: store, grace: grace, acked: map[int]time.Time{}, evacuated: map[string]time.Time{}}
 	for _, o := range options {
 		o(w)
 	}
@@ -169,7 +177,7 @@
 		return err
 	}
 	at := func(port int) string { return w.ports[port].On(ip).String() }
-	in.entry, in.lookups = at(0), at(1)
+	in.entry, in.lookups, in.ready = at(0), at(1), at(2)
 	if in.callerProxy, err = NewProxy(in.entry); err != nil {
 		return err
 	}
@@ -179,9 +187,9 @@
 	}
 	text, err := json.Marshal(map[string]any{
 		"instance": in.name, "region": regionOf(in.domain), "domain": in.domain, "domains": regionsByDomain,
-		"listen": map[string]string{"requests": in.entry, "lookups": in.lookups, "ready": at(2), "peer": at(3)},
+		"listen": map[string]string{"requests": in.entry, "lookups": in.lookups, "ready": in.ready, "peer": at(3)},
 		"store":  map[string]string{"address": proxy.Addr()},
-		"bounds": map[string]any{"grace": grace.String(), "retry_ratio": 0.2, "retry_slack": 120, "retry_window": "10s", "max_shift": 0.15,
+		"bounds": map[string]any{"grace": w.grace.String(), "retry_ratio": 0.2, "retry_slack": 120, "retry_window": "10s", "max_shift": 0.15,
 			"strict_revoke": w.revoke > 0, "revoke": w.revoke.String()},
 		"seeds": []string{w.network + "1:1", w.network + "2:1"}, "memory_mb": memoryLimit >> 20, "log": map[string]string{"level": "info"},
 	})
@@ -279,8 +287,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.nextID++
-	e, err := standin.StartEndpoint(standin.EndpointConfig{ID: fmt.Sprint("e", w.nextID), Service: "s", Domain: domain,
-		Slots: 4, Queue: 8, ServiceTime: 15 * time.Millisecond})
+	cfg := standin.EndpointConfig{ID: fmt.Sprint("e", w.nextID), Service: "s", Domain: domain, Slots: 4, Queue: 8, ServiceTime: 15 * time.Millisecond}
+	if w.endpoint != nil {
+		w.endpoint(&cfg)
+	}
+	e, err := standin.StartEndpoint(cfg)
 	if err != nil {
 		return err
 	}
@@ -295,7 +306,11 @@
 }
 
 func (w *Cluster) listEndpoint(e *Endpoint, leaving bool, cold time.Duration) {
-	w.Store.PutEndpoint(e.Endpoint, e.proxy.Addr(), leaving, cold)
+	addr := e.proxy.Addr()
+	if w.direct {
+		addr = e.Addr()
+	}
+	w.Store.PutEndpoint(e.Endpoint, addr, leaving, cold)
 }
 
 // rewriteRecords writes to the store what the operator and the endpoints have
@@ -360,6 +375,10 @@
 
 // putState writes the desired state to the store. The caller holds mu.
 func (w *Cluster) putState() {
+	if w.routes != nil {
+		w.Store.PutDesiredState(w.version, 5, []string{"s"}, w.routes(w.version), w.tenants...)
+		return
+	}
 	route := func(name, prefix string, repeatable bool) standin.Route {
 		return standin.Route{Name: name, Host: host, Prefix: prefix, Repeatable: repeatable, Service: "s",
 			Timeout: callerTimeout, Target: 300 * time.Millisecond}
