--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -185,9 +186,11 @@
 		case 0:
 			s.cluster.PutNextState()
 		case 1:
+			f.Index |= 1 // Without the signal.
 			changeSettings(s.cluster, f)
+			hangUp(s.cluster.pickInstance(f))
 		case 2:
-			sendHangup(s.cluster, f)
+			hangUp(s.cluster.pickInstance(f))
 		default:
 			if rnd.IntN(3) == 0 {
 				evacuations.Go(func() { evacuate(s.cluster, f) })
@@ -196,3 +199,15 @@
 	}
 	evacuations.Wait()
 }
+
+// hangUp sends SIGHUP to the instance's process if it listens. Before a program has
+// installed its handlers, in the first milliseconds, the signal ends it.
+func hangUp(in *Instance) {
+	process := in.process()
+	c, err := net.DialTimeout("tcp", in.ready, dialTimeout)
+	if err != nil {
+		return
+	}
+	_ = c.Close()
+	_ = process.Process.Signal(syscall.SIGHUP) // It may have exited.
+}
