proctest: crowds that hold bodies open

Callers outside the users' control ended a process in a trial: it ran out of memory. They sent many bodies at once, in chunks and with a length, most of which stopped just short of their end.

These crowds meet a process of `serve` that is told 64 MB (it takes 17 MB in calm) and one of `run` on the smallest machine (136 MB): bodies that stop short in all the ways found, at each door, the peer listener's TCP and UDP sockets included; bodies held by slow endpoints, with callers who stay or leave; large answers; pipelined requests; connections with few bytes. Callers whose connection is closed return at once. Checked are: the process lives, its resident memory and descriptors are within the machine's, an ordinary request is answered beside the crowd and afterwards.

--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -194,19 +194,25 @@
 // start starts a new process of the instance. Its log is printed if the test
 // fails.
 func (f *fleet) start(p *process) {
+	f.t.Helper()
+	f.startCommand(p, exec.Command(binary, "run", "-config", p.config))
+}
+
+// startCommand is start with another command.
+func (f *fleet) startCommand(p *process, cmd *exec.Cmd) {
 	f.t.Helper()
 	log, err := os.CreateTemp(f.t.TempDir(), "log")
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	p.log = log
-	p.cmd = exec.Command(binary, "run", "-config", p.config)
+	p.cmd = cmd
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
 	p.exited = make(chan error, 1)
-	cmd, exited := p.cmd, p.exited
+	exited := p.exited
 	go func() { exited <- cmd.Wait() }()
 	f.t.Cleanup(func() {
 		_ = cmd.Process.Signal(syscall.SIGCONT)
--- a/internal/proctest/serve_test.go
+++ b/internal/proctest/serve_test.go
@@ -28,11 +28,11 @@
 // serveProcess is a process of `jujubestiled serve` with a stand-in store and
 // stand-in endpoints.
 type serveProcess struct {
-	t                                 *testing.T
-	requests, ready, lookups, metrics string
-	cmd                               *exec.Cmd
-	exited                            chan error
-	maxResident, maxFiles             int
+	t                                       *testing.T
+	requests, ready, lookups, metrics, peer string
+	cmd                                     *exec.Cmd
+	exited                                  chan error
+	maxResident, maxFiles                   int
 }
 
 // startServe starts a process with the given limits of its machine and waits until
