fleet: reject a message with a length beyond its end

Seen: one datagram of a few bytes at the peer listener's UDP socket ended a process ("out of memory: cannot allocate-byte block"). Random datagrams hit it within seconds.

Cause: the MessagePack library allocates the elements that an array announces before it reads them; its limit does not cover slices of structs (the flag is compared with 1, which it never is).

Change: the lengths of a message are checked against its bytes before it is decoded.

--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -220,6 +220,9 @@
 // decodeValue reverses encode, without the kind, and returns what follows. The age of a
 // message that has none is 0.
 func decodeValue(b []byte, m any) (age uint8, rest []byte, err error) {
+	if err := checkLengths(b); err != nil {
+		return 0, nil, errors.Trace(err)
+	}
 	r := bytes.NewReader(b)
 	if err := msgpack.NewDecoder(r).Decode(m); err != nil {
 		return 0, nil, errors.Trace(err)
