peer: bound the memory of large messages

Seen: 200 connections to the peer listener that send a message of 1.1 MB, but for its last byte, take a process to 440 MB (serve) or 550 MB (run).

Cause: each of 256 connections buffered a message of the largest size, in a buffer that doubles, and kept it until the next message arrived.

Change: messages of more than 16 KB are charged to one budget for all connections before they are received or sent. What does not fit waits unread; the connection without progress for longest is closed meanwhile. The buffer is dropped once the call has been decoded. New setting limits.peer_memory of serve.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -64,6 +64,9 @@
 	br   *bufio.Reader
 	buf  bytes.Buffer
 	dec  *gob.Decoder
+	// admit is called before a frame of more than maxKeptBufferBytes is read, if it is
+	// not nil.
+	admit func(n int) error
 }
 
 func newFrameReader(conn net.Conn) *frameReader {
@@ -75,7 +78,7 @@
 // next reads one frame into the buffer. It waits up to idle for the first byte
 // (zero means no limit) and up to rest for the other bytes. The buffer grows
 // with the bytes that arrive, so that no memory is allocated for a length that
-// the frame declares but does not have.
+// the frame declares but does not have, unless admit has granted it.
 func (r *frameReader) next(idle, rest time.Duration) error {
 	if err := r.conn.SetReadDeadline(deadlineAfter(idle)); err != nil {
 		return err
@@ -95,6 +98,15 @@
 		return errors.Annotatef(ErrTooLarge, "frame of %d bytes", n)
 	}
 	r.reset()
+	if n > maxKeptBufferBytes && r.admit != nil {
+		if err := r.admit(int(n)); err != nil {
+			return err
+		}
+		if err := r.conn.SetReadDeadline(deadlineAfter(rest)); err != nil {
+			return err
+		}
+		r.buf.Grow(int(n) + bytes.MinRead)
+	}
 	_, err := io.CopyN(&r.buf, r.br, int64(n))
 	return err
 }
@@ -128,13 +140,18 @@
 	return e
 }
 
-// encode returns a frame with the header and the body. The frame is valid until
-// the next call.
-func (e *frameEncoder) encode(head, body any) ([]byte, error) {
+func (e *frameEncoder) reset() {
 	if e.buf.Cap() > maxKeptBufferBytes {
 		e.buf = bytes.Buffer{}
+		return
 	}
 	e.buf.Reset()
+}
+
+// encode returns a frame with the header and the body. The frame is valid until
+// the next call.
+func (e *frameEncoder) encode(head, body any) ([]byte, error) {
+	e.reset()
 	e.buf.Write(make([]byte, frameHeaderBytes))
 	if err := e.enc.Encode(head); err != nil {
 		return nil, err
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -33,6 +33,11 @@
 	// MessageTimeout is the timeout for reading the rest of a message after
 	// its first byte, and for writing a message. Default 5 s.
 	MessageTimeout time.Duration
+	// LargeBytes bounds the memory of messages of more than 16 KB that are being
+	// received or sent, over all connections. Further ones wait up to MessageTimeout
+	// unread; connections whose message makes no progress are closed meanwhile.
+	// Default 8 MB, at least one message of MaxMessageBytes.
+	LargeBytes int64
 	// OnPanic is called when a method has panicked. The call fails.
 	OnPanic func(method string, value any, stack []byte)
 }
@@ -43,6 +48,8 @@
 	setDefault(&o.HeaderTimeout, 2*time.Second)
 	setDefault(&o.IdleTimeout, time.Minute)
 	setDefault(&o.MessageTimeout, 5*time.Second)
+	setDefault(&o.LargeBytes, 8<<20)
+	o.LargeBytes = max(o.LargeBytes, largeCost*MaxMessageBytes)
 	if o.OnPanic == nil {
 		o.OnPanic = func(string, any, []byte) {}
 	}
@@ -56,7 +63,7 @@
 }
 
 type serverCounters struct {
-	accepted, refused, malformed, calls, panics, bytesIn, bytesOut atomic.Int64
+	accepted, refused, malformed, stalled, calls, panics, bytesIn, bytesOut atomic.Int64
 }
 
 // Server serves the calls of other instances.
@@ -66,6 +73,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	counters serverCounters
+	large    *largeMessages
 
 	mu        sync.Mutex
 	closed    bool
@@ -83,6 +91,7 @@
 		rpc:       rpc.NewServer(),
 		ctx:       ctx,
 		cancel:    cancel,
+		large:     newLargeMessages(opts.LargeBytes),
 		listeners: map[net.Listener]struct{}{},
 		conns:     map[*serverConn]struct{}{},
 	}
@@ -177,6 +186,7 @@
 		"connections_accepted": s.counters.accepted.Load(),
 		"connections_refused":  s.counters.refused.Load(),
 		"messages_malformed":   s.counters.malformed.Load(),
+		"messages_stalled":     s.counters.stalled.Load(),
 		"calls":                s.counters.calls.Load(),
 		"panics":               s.counters.panics.Load(),
 		"bytes_in":             s.counters.bytesIn.Load(),
--- a/internal/peer/serverconn.go
+++ b/internal/peer/serverconn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -23,23 +24,49 @@
 	firstFrame bool
 	semaphore  chan struct{}
 
+	// receiving is the memory of the message that is being received, or nil.
+	receiving *largeMessage
+	// progressAt is when bytes were last received or sent, in Unix nanoseconds.
+	progressAt atomic.Int64
+
 	writing sync.Mutex
 	out     *frameEncoder
 }
 
 func newServerConn(s *Server, conn net.Conn) *serverConn {
-	counted := countingConn{conn, &s.counters.bytesIn, &s.counters.bytesOut}
 	ctx, cancel := context.WithCancel(s.ctx)
-	return &serverConn{
+	c := &serverConn{
 		server:     s,
-		conn:       counted,
 		ctx:        ctx,
 		cancel:     cancel,
-		in:         newFrameReader(counted),
 		firstFrame: true,
 		semaphore:  make(chan struct{}, s.opts.MaxCallsPerConn),
 		out:        newFrameEncoder(),
 	}
+	c.conn = countingConn{progressConn{conn, &c.progressAt}, &s.counters.bytesIn, &s.counters.bytesOut}
+	c.in = newFrameReader(c.conn)
+	c.in.admit = c.admit
+	return c
+}
+
+// admit waits for the memory of a message of n bytes.
+func (c *serverConn) admit(n int) error {
+	c.receiving = c.server.large.acquire(c, largeCost*int64(n), c.server.opts.MessageTimeout)
+	if c.receiving == nil {
+		return errNoMemory
+	}
+	return nil
+}
+
+const errNoMemory = errors.ConstError("no memory for a large message")
+
+// received drops a large message that has been decoded.
+func (c *serverConn) received() {
+	if c.receiving != nil {
+		c.in.reset()
+		c.receiving.release()
+		c.receiving = nil
+	}
 }
 
 func (c *serverConn) close() {
@@ -85,6 +112,14 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	frame, err := c.out.encode(head, body)
+	if err == nil && len(frame) > maxKeptBufferBytes {
+		defer c.out.reset()
+		large := c.server.large.acquire(c, int64(len(frame)), c.server.opts.MessageTimeout)
+		defer large.release()
+		if large == nil {
+			err = errNoMemory
+		}
+	}
 	if err == nil {
 		_ = c.conn.SetWriteDeadline(time.Now().Add(c.server.opts.MessageTimeout))
 		_, err = c.conn.Write(frame)
@@ -141,6 +176,7 @@
 		return
 	}
 	s.readFinished = true
+	s.conn.received()
 	s.readDone <- usable
 }
 
--- a/internal/serve/bounds.go
+++ b/internal/serve/bounds.go
@@ -21,6 +21,8 @@
 	LargeMemory  float64 `json:"large_memory"`
 	// CallerFiles is the share of the sockets for connections of callers.
 	CallerFiles float64 `json:"caller_files"`
+	// PeerMemory is the share of the memory for large messages of other instances.
+	PeerMemory float64 `json:"peer_memory"`
 	// EndpointBody bounds the request bodies in flight to one endpoint. A longer body
 	// is sent if no other is in flight.
 	EndpointBody Megabytes `json:"endpoint_body_mb"`
@@ -34,6 +36,7 @@
 	// defaultLargeMemory is just enough for a body of 64 MB on a machine of
 	// 136 MB.
 	defaultCallerMemory, defaultLargeMemory = 0.6, 0.5
+	defaultPeerMemory                       = 0.05
 	// filesReserve is the number of descriptors that machines reserve for files.
 	filesReserve = 200
 	// defaultCallerFiles leaves a quarter of the sockets to endpoints, other instances
@@ -59,13 +62,22 @@
 	return def
 }
 
+// memoryBytes returns the memory of the machine, or what is assumed.
+func (s Settings) memoryBytes() float64 {
+	if s.Memory <= 0 {
+		return float64(defaultMemory) * (1 << 20)
+	}
+	return float64(s.Memory) * (1 << 20)
+}
+
+// peerMemory returns the bound for large messages of other instances.
+func (s Settings) peerMemory() int64 {
+	return int64(orDefault(s.Limits.PeerMemory, defaultPeerMemory) * s.memoryBytes())
+}
+
 // memoryLimits returns the budget for callers.
 func (s Settings) memoryLimits() bound.Limits {
-	memory := s.Memory
-	if memory <= 0 {
-		memory = defaultMemory
-	}
-	bytes := float64(memory) * (1 << 20)
+	bytes := s.memoryBytes()
 	return bound.Limits{Total: int64(orDefault(s.Limits.CallerMemory, defaultCallerMemory) * bytes),
 		Large: int64(orDefault(s.Limits.LargeMemory, defaultLargeMemory) * bytes)}
 }
--- a/internal/serve/listeners.go
+++ b/internal/serve/listeners.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	l.rpc = peer.NewServer(peer.ServerOptions{})
+	l.rpc = peer.NewServer(peer.ServerOptions{LargeBytes: in.settings.peerMemory()})
 	if err := l.rpc.Register(stateService, &State{in}); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/serve/settings.go
+++ b/internal/serve/settings.go
@@ -234,6 +234,7 @@
 		{"max_files", s.MaxFiles == 0 || s.MaxFiles > filesReserve, s.MaxFiles, "0 (the limit of the process) or more than 200"},
 		{"limits.caller_memory", l.CallerMemory >= 0 && l.CallerMemory < 1, l.CallerMemory, "0 (default) or less than 1"},
 		{"limits.large_memory", l.LargeMemory >= 0 && l.LargeMemory <= orDefault(l.CallerMemory, defaultCallerMemory), l.LargeMemory, "0 (default) to caller_memory"},
+		{"limits.peer_memory", l.PeerMemory >= 0 && l.PeerMemory < 1, l.PeerMemory, "0 (default) or less than 1"},
 		{"limits.caller_files", l.CallerFiles >= 0 && l.CallerFiles < 1, l.CallerFiles, "0 (default) or less than 1"},
 		{"limits.endpoint_body_mb", l.EndpointBody >= 0, l.EndpointBody, "0 (default) or more"},
 	}
