bound: count what is in memory besides the charges

Seen: many bodies of 60 KB that stop a byte short, bodies held by slow endpoints, pipelined requests behind a body: 66 to 78 MB resident on a machine of 64 MB. With the settings of a machine of 136 MB, callers who leave slow endpoints took 131 MB.

Cause: the budget knows only what is charged. Stacks, connections to endpoints, buffers that keep their size, parts of pages and the copy of the store are not; the live heap passed the collector's limit, the collector ran all the time, and the memory grew beyond. On a small machine the program's text (15 MB) was left out too.

Change: after each collection the memory of the runtime is compared with the charges, and the difference takes part in the budget; together they stay under 0.93 of the collector's limit. A waiter that only the difference keeps out starts a collection. The shares leave 24 MB to the program.

--- a/internal/bound/bound.go
+++ b/internal/bound/bound.go
@@ -27,6 +27,8 @@
 type Limits struct {
 	// Total bounds all charges, Large those of class Large.
 	Total, Large int64
+	// Memory bounds the charges and what is uncharged together. 0 means no bound.
+	Memory int64
 }
 
 // Budget is a bounded amount of memory. It is safe for concurrent use. A charge that
@@ -34,6 +36,9 @@
 type Budget struct {
 	limits      Limits
 	used, large atomic.Int64
+	// uncharged is what takes memory besides the charges, and collectedAt when it was
+	// last measured for a waiter, in Unix nanoseconds.
+	uncharged, collectedAt atomic.Int64
 	// waiting counts the waiters of each class.
 	waiting [classes]atomic.Int64
 
@@ -63,7 +68,7 @@
 		b.large.Add(-n)
 		return false
 	}
-	if b.used.Add(n) > b.limits.Total {
+	if b.used.Add(n) > b.total() {
 		b.used.Add(-n)
 		if c == Large {
 			b.large.Add(-n)
@@ -79,9 +84,30 @@
 	if c == Large {
 		fits = b.large.Add(n) <= b.limits.Large
 	}
-	return b.used.Add(n) <= b.limits.Total && fits
+	return b.used.Add(n) <= b.total() && fits
 }
 
+// leastShare is the share of Limits.Total that is left for charges whatever is uncharged:
+// without it a process would be of no use.
+const leastShare = 0.25
+
+// total returns the bound of all charges at present.
+func (b *Budget) total() int64 {
+	if b.limits.Memory == 0 {
+		return b.limits.Total
+	}
+	return min(b.limits.Total, max(b.limits.Memory-b.uncharged.Load(), int64(leastShare*float64(b.limits.Total))))
+}
+
+// SetUncharged sets how many bytes are in memory and not charged.
+func (b *Budget) SetUncharged(n int64) {
+	b.uncharged.Store(max(n, 0))
+	b.wake()
+}
+
+// Uncharged returns the value of SetUncharged.
+func (b *Budget) Uncharged() int64 { return b.uncharged.Load() }
+
 // Release returns n bytes of an earlier charge.
 func (b *Budget) Release(c Class, n int64) {
 	if n == 0 {
@@ -122,6 +148,9 @@
 	b.queues[c] = append(b.queues[c], w)
 	b.waiting[c].Add(1)
 	b.grant()
+	if !w.granted && b.used.Load()+n <= b.limits.Total {
+		b.collect()
+	}
 	return w
 }
 
--- a/internal/bound/bound_test.go
+++ b/internal/bound/bound_test.go
@@ -1,8 +1,10 @@
 package bound_test
 
 import (
+	"runtime"
 	"sync"
 	"testing"
+	"time"
 
 	"jujubestile.example/jujubestile/internal/bound"
 )
@@ -83,6 +85,62 @@
 	}
 }
 
+// Guards against charges beyond what memory is left besides what is not charged, and
+// against a process that has none left for callers.
+func TestUncharged(t *testing.T) {
+	b := bound.New(bound.Limits{Total: 100, Large: 80, Memory: 120})
+	b.SetUncharged(60)
+	if b.TryAcquire(bound.Large, 61) || !b.TryAcquire(bound.Large, 60) {
+		t.Fatal("not exactly the rest was charged")
+	}
+	w := b.Enqueue(bound.Small, 10)
+	b.SetUncharged(50)
+	select {
+	case <-w.Ready():
+	default:
+		t.Error("a waiter was not granted what is no longer taken")
+	}
+	b.Release(bound.Large, 60)
+	b.Release(bound.Small, 10)
+	b.SetUncharged(1000)
+	if !b.TryAcquire(bound.Small, 25) || b.TryAcquire(bound.Small, 1) {
+		t.Error("not a quarter is left")
+	}
+}
+
+var kept []byte
+
+// Guards against memory that is not charged and not seen, and against a value that stays
+// after the memory has been freed.
+func TestWatchHeap(t *testing.T) {
+	const size = 64 << 20
+	b := bound.New(bound.Limits{Total: 4 * size, Large: 4 * size, Memory: 4 * size})
+	defer b.WatchHeap()()
+	await := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: %d bytes are uncharged", what, b.Uncharged())
+			}
+			runtime.GC()
+		}
+	}
+	await("nothing held", func() bool { return b.Uncharged() > 0 })
+	b.TryAcquire(bound.Large, size)
+	kept = make([]byte, size)
+	runtime.GC()
+	await("charged", func() bool { return b.Uncharged() < size })
+	b.Release(bound.Large, size)
+	await("not charged", func() bool { return b.Uncharged() >= size })
+	kept = nil
+	w := b.Enqueue(bound.Large, 4*size-size/2)
+	select {
+	case <-w.Ready():
+	case <-time.After(10 * time.Second):
+		t.Errorf("no collection for a waiter: %d bytes are uncharged", b.Uncharged())
+	}
+}
+
 func BenchmarkAcquire(b *testing.B) {
 	m := bound.New(bound.Limits{Total: 1 << 30, Large: 1 << 29})
 	b.RunParallel(func(pb *testing.PB) {
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -232,7 +232,9 @@
 	// Used and Large are the charged bytes, of all classes and of class Large, and
 	// Waiting the number of requests that wait for memory.
 	Used, Large, Waiting int64
-	Limits               bound.Limits
+	// Uncharged is what takes memory besides, in bytes.
+	Uncharged int64
+	Limits    bound.Limits
 	// Connections is the number of connections, and Reasons the counts of refusals
 	// and closed connections.
 	Connections int
@@ -242,7 +244,7 @@
 // Stats returns the metrics.
 func (g *Guard) Stats() GuardStats {
 	used, large := g.budget.Used()
-	s := GuardStats{Used: used, Large: large, Waiting: g.waiting.Load(), Limits: g.budget.Limits(), Reasons: g.counters.Values()}
+	s := GuardStats{Used: used, Large: large, Waiting: g.waiting.Load(), Uncharged: g.budget.Uncharged(), Limits: g.budget.Limits(), Reasons: g.counters.Values()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, of := range g.groups {
--- a/internal/serve/bounds.go
+++ b/internal/serve/bounds.go
@@ -37,6 +37,12 @@
 	// 136 MB.
 	defaultCallerMemory, defaultLargeMemory = 0.6, 0.5
 	defaultPeerMemory                       = 0.05
+	// programMemory is what the program takes beside the Go heap: its text, and what the
+	// collector is late to free.
+	programMemory Megabytes = 24
+	// maxHeapShare is the share of the collector's limit that is in use at most, as far
+	// as callers decide. Closer to the limit it runs all the time.
+	maxHeapShare = 0.93
 	// filesReserve is the number of descriptors that machines reserve for files.
 	filesReserve = 200
 	// defaultCallerFiles leaves a quarter of the sockets to endpoints, other instances
@@ -62,12 +68,14 @@
 	return def
 }
 
-// memoryBytes returns the memory of the machine, or what is assumed.
+// memoryBytes returns the memory of which the limits are shares: that of the machine, or
+// on a small one as much as leaves programMemory.
 func (s Settings) memoryBytes() float64 {
-	if s.Memory <= 0 {
-		return float64(defaultMemory) * (1 << 20)
+	memory := s.Memory
+	if memory <= 0 {
+		memory = defaultMemory
 	}
-	return float64(s.Memory) * (1 << 20)
+	return min(float64(memory), max(float64(memory-programMemory), 1)/memoryLimitFraction) * (1 << 20)
 }
 
 // peerMemory returns the bound for large messages of other instances.
@@ -79,7 +87,8 @@
 func (s Settings) memoryLimits() bound.Limits {
 	bytes := s.memoryBytes()
 	return bound.Limits{Total: int64(orDefault(s.Limits.CallerMemory, defaultCallerMemory) * bytes),
-		Large: int64(orDefault(s.Limits.LargeMemory, defaultLargeMemory) * bytes)}
+		Large:  int64(orDefault(s.Limits.LargeMemory, defaultLargeMemory) * bytes),
+		Memory: int64(maxHeapShare * memoryLimitFraction * bytes)}
 }
 
 // connLimits returns the largest numbers of connections of callers and of each other
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -177,7 +177,8 @@
 // error if a listener cannot be opened.
 func (in *Instance) Run(ctx context.Context) error {
 	if in.settings.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(in.settings.Memory) * (1 << 20)))
+		debug.SetMemoryLimit(int64(memoryLimitFraction * in.settings.memoryBytes()))
+		defer in.guard.Budget().WatchHeap()()
 	}
 	listeners, err := in.listen()
 	if err != nil {
