exchange: count the old buffer of a response that grows

Cause: the buffer of a body of unknown length doubles. Only the new buffer was counted, but the old one is in memory until the next collection.

Change: the old one is counted until the next growth.

--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -65,10 +65,12 @@
 }
 
 // grow doubles the buffer, up to one byte more than the limit, so that a longer
-// body is detected.
+// body is detected. The old buffer is counted until the next growth, because its memory is
+// not free before a collection.
 func (b *bodyBuffer) grow(limit int64) error {
-	size := min(max(2*int64(cap(b.data)), minBodyBytes), limit+1)
-	if err := b.reserve(max(size-freeBodyBytes, 0) - b.reserved); err != nil {
+	old := int64(cap(b.data))
+	size := min(max(2*old, minBodyBytes), limit+1)
+	if err := b.reserve(max(size+old-freeBodyBytes, 0) - b.reserved); err != nil {
 		return err
 	}
 	data := make([]byte, len(b.data), size)
