--- a/internal/proctest/serve_test.go
+++ b/internal/proctest/serve_test.go
@@ -28,12 +28,12 @@
 // serveProcess is a process of `jujubestiled serve` with a stand-in store and
 // stand-in endpoints.
 type serveProcess struct {
-	t                                 *testing.T
-	requests, ready, lookups, metrics string
-	cmd                               *exec.Cmd
-	exited                            chan error
-	stdout                            io.Writer
-	maxResident, maxFiles             int
+	t                                       *testing.T
+	requests, ready, lookups, metrics, peer string
+	cmd                                     *exec.Cmd
+	exited                                  chan error
+	stdout                                  io.Writer
+	maxResident, maxFiles                   int
 }
 
 // serveConfig configures a serveProcess and its endpoints.
