--- a/internal/soak/stop_callers.go
+++ b/internal/soak/stop_callers.go
@@ -267,7 +267,7 @@
 	if err != nil {
 		return false
 	}
-	r.Status, r.Signed = resp.StatusCode, resp.Header.Get("X-Server-Signature") != ""
+	r.Status, r.Signed = resp.StatusCode, standin.Signed(resp.Header)
 	r.Whole = len(body) == r.Bytes && strings.HasPrefix(string(body), "answer to "+r.ID+" by ")
 	return !resp.Close
 }
