forward: the random test tolerates no lost answer

It passed over answers on connections that the guard had closed to make room. None is lost there any more, as these callers do not stall; its handler ends a request whose caller has left, as the engine does, because the guard may close a connection before the request begins.

--- a/internal/forward/conn_random_test.go
+++ b/internal/forward/conn_random_test.go
@@ -15,14 +15,11 @@
 	"sync/atomic"
 	"testing"
 	"time"
-
-	"jujubestile.example/jujubestile/internal/bound"
 )
 
 // randomAnswer is what the server knows of a request, and whether its caller has received
 // the whole answer.
 type randomAnswer struct {
-	conn *guardedConn
 	// written is set once the handler has passed the whole answer on without an error:
 	// to the kernel if flushed is set.
 	written, flushed bool
@@ -64,7 +61,11 @@
 	size, _ := strconv.Atoi(q.Get("size"))
 	ms, _ := strconv.Atoi(q.Get("ms"))
 	a := connOf(r.Context())
-	s.update(r.URL.Path, func(e *randomAnswer) { e.conn, e.began = a, time.Now() })
+	if r.Context().Err() != nil { // As in Engine.Do.
+		a.abort()
+		panic(http.ErrAbortHandler)
+	}
+	s.update(r.URL.Path, func(e *randomAnswer) { e.began = time.Now() })
 	time.Sleep(time.Duration(ms) * time.Millisecond)
 	switch q.Get("end") {
 	case "abort":
@@ -251,13 +252,12 @@
 	s.check(t, graceful, stopped)
 }
 
-// check reports the answers that were written and not received by callers that stayed,
-// unless the guard has closed their connections to make room.
+// check reports the answers that were written and not received by callers that stayed.
+// The guard may close the connections of callers that stall, which these do not.
 func (s *randomServer) check(t *testing.T, graceful bool, stopped time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	received := 0
-	lost := -int(s.guard.Stats().Reasons[bound.ClosingEnded.String()])
 	for path, e := range s.answers {
 		if e.received {
 			received++
@@ -266,15 +266,7 @@
 		if e.received || e.left || !e.written || !kept {
 			continue
 		}
-		e.conn.mu.Lock()
-		evicted := e.conn.err == errEvicted
-		e.conn.mu.Unlock()
-		if evicted {
-			continue
-		}
-		if lost++; lost > 0 {
-			t.Errorf("%s: the answer was written and not received (flushed: %v)", path, e.flushed)
-		}
+		t.Errorf("%s: the answer was written and not received (flushed: %v)", path, e.flushed)
 	}
 	if received == 0 {
 		t.Error("no answer was received")
