--- a/internal/httpstrict/reset_test.go
+++ b/internal/httpstrict/reset_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"jujubestile.example/jujubestile/internal/linger"
 )
 
 const (
@@ -30,8 +33,7 @@
 // Guards against a response without a length that passes for a complete one although its
 // connection was reset, because the error went to the writer of the request.
 func TestUnframedResponseBeforeAReset(t *testing.T) {
-	const untilBodyIsUnread = 5 * time.Millisecond
-	url := startServerThatClosesAfter(t, untilBodyIsUnread, "HTTP/1.1 200 OK\r\n\r\npart")
+	url := startServerThatAwaits(t, awaitUnread, "HTTP/1.1 200 OK\r\n\r\npart")
 	client := newClient(t)
 	for range resets {
 		if status, body, err := get(client, url, bytes.NewReader(make([]byte, unreadBody))); err == nil {
@@ -39,3 +41,10 @@
 		}
 	}
 }
+
+// awaitUnread waits until bytes are unread, so that closing the connection resets it.
+func awaitUnread(c net.Conn) {
+	for end := time.Now().Add(time.Second); linger.Unread(c) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/httpstrict/transport_test.go
+++ b/internal/httpstrict/transport_test.go
@@ -22,11 +22,11 @@
 // after the other, and closes it.
 func startServer(t *testing.T, answers ...string) (url string) {
 	t.Helper()
-	return startServerThatClosesAfter(t, 0, answers...)
+	return startServerThatAwaits(t, func(net.Conn) {}, answers...)
 }
 
-// startServerThatClosesAfter starts a server that closes a connection after a pause.
-func startServerThatClosesAfter(t *testing.T, pause time.Duration, answers ...string) (url string) {
+// startServerThatAwaits starts a server that calls await before it closes a connection.
+func startServerThatAwaits(t *testing.T, await func(net.Conn), answers ...string) (url string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,7 +46,7 @@
 				}
 				_, _ = io.WriteString(c, answer)
 			}
-			time.Sleep(pause)
+			await(c)
 			_ = c.Close()
 		}
 	})
@@ -108,7 +108,9 @@
 			t.Errorf("request %d: status %d, %d bytes, %v", i, status, len(got), err)
 		}
 	}
-	if status, got, err := get(client, url, strings.NewReader(strings.Repeat("b", 64<<10))); err != nil || status != 200 || got != body {
+	// The connection before is being closed, so this one goes to another server.
+	other := startServer(t, early)
+	if status, got, err := get(newClient(t), other, strings.NewReader(strings.Repeat("b", 64<<10))); err != nil || status != 200 || got != body {
 		t.Errorf("long request: status %d, %d bytes, %v", status, len(got), err)
 	}
 }
