--- a/internal/httpstrict/transport.go
+++ b/internal/httpstrict/transport.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"sync"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // defaultMaxHead is the largest head of a response, in bytes, if the transport has no
@@ -103,6 +105,28 @@
 	return c.writeErr
 }
 
+// hungUp reports whether a connection whose peer has ended it has also ended for writers.
+// A write to one that has not may block for as long as the peer reads nothing. It returns
+// true if the kernel does not tell.
+func hungUp(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true // It is closed, so no write blocks.
+	}
+	hup := true
+	_ = raw.Control(func(fd uintptr) { // An error means that it is closed.
+		fds := []unix.PollFd{{Fd: int32(fd)}}
+		if _, err := unix.Poll(fds, 0); err == nil {
+			hup = fds[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0
+		}
+	})
+	return hup
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
@@ -112,7 +136,7 @@
 		return 0, bad
 	}
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) && hungUp(c.Conn) {
 		// The kernel reports a reset once, which may have been to a writer.
 		if reset := c.resetError(); reset != nil {
 			err = reset
