linger: a refusal of a long body is read

What callers saw: a 503 or 413 to a body that is still being sent was followed by a reset after 1 MB, before a caller that reads behind its body had read it. Such a caller does not learn that its request has not run.

Cause: the bytes that are discarded while a connection closes were bounded far below the bodies that are allowed. The bound is 64 MB now; the time limits stay.

--- a/internal/forward/conn_close_test.go
+++ b/internal/forward/conn_close_test.go
@@ -177,3 +177,24 @@
 		t.Errorf("no room for another connection: %v", err)
 	}
 }
+
+// Guards against a refusal that is lost because the caller is still sending a body within
+// the limits: it does not learn that its request has not run.
+func TestRefusalOfALongBodyArrives(t *testing.T) {
+	const size, pieces = 4 << 20, 16
+	addr := startGuarded(t, NewGuard(GuardConfig{}), 0, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	c := dialSmallBuffer(t, addr)
+	_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+	for i := range pieces {
+		time.Sleep(50 * time.Millisecond)
+		if _, err := io.WriteString(c, strings.Repeat("x", size/pieces)); err != nil {
+			t.Fatalf("piece %d: %v", i, err)
+		}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%v: %v", resp, err)
+	}
+}
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -15,8 +15,9 @@
 	// The kernel goes on sending to one that takes longer, but a request that arrives
 	// from it then resets the connection.
 	Limit = 10 * time.Second
-	// maxDiscarded bounds the bytes that are read from a peer that goes on sending.
-	maxDiscarded = 1 << 20
+	// maxDiscarded bounds the bytes that are read from a peer that goes on sending. It is
+	// the length of the longest bodies, whose senders read a refusal only then.
+	maxDiscarded = 64 << 20
 	// pollInterval is how often the kernel is asked for unacknowledged bytes.
 	pollInterval = 100 * time.Millisecond
 )
