forward: event 818 leaves out answers that have been received

In 430 planned stops with callers that pipeline, 778 lines named connections whose callers had received all and had only not closed them yet.

--- a/internal/events/catalogue_serve.go
+++ b/internal/events/catalogue_serve.go
@@ -36,7 +36,7 @@
 		"A connection was closed before the caller's kernel had acknowledged all of an answer. The field request is the last request of the connection, unacknowledged the number of bytes that were not acknowledged, unread the number of bytes that the caller had sent and that were not read: if there are any, the kernel drops the former.",
 		"None if callers leave without reading their answers. Otherwise follow the request."}
 	RequestCut = Event{818, "request cut by a planned stop", zerolog.WarnLevel,
-		"The process stops while a request is running or its answer is being sent. The field state says which (body, running, answer), age_ms for how long; suppressed is the number of further requests.",
+		"The process stops while a request is running or its answer is being sent. The field state says which (body, running, answer, or closing, if the caller still receives it), age_ms for how long; suppressed is the number of further requests.",
 		"None for requests that take longer than the rest of the grace period. Otherwise extend the grace period."}
 	StateAdopted = Event{821, "desired state adopted", zerolog.InfoLevel,
 		"A newer desired state is in force on this instance. The field from is store, or the instance that it was fetched from.",
--- a/internal/forward/unfinished.go
+++ b/internal/forward/unfinished.go
@@ -28,7 +28,11 @@
 	}
 	var found []unfinished
 	for _, a := range l.group.all() {
-		if p := phase(a.phase.Load()); p >= phaseRunning {
+		p := phase(a.phase.Load())
+		if p == phaseClosing && linger.Unacknowledged(a.Conn) == 0 {
+			continue // The caller has received all.
+		}
+		if p >= phaseRunning {
 			a.mu.Lock()
 			found = append(found, unfinished{a.request, p, a.since.Load()})
 			a.mu.Unlock()
