daemon: bound what callers and operators of `run` take

Seen: header sections that do not end, edits and bodies that stop short take a process of `run` to 270 to 442 MB resident on a machine of 136 MB; with 300 descriptors and 900 connections with few bytes no ordinary request is answered within 15 s.

Cause: the listeners of `run` had none of the bounds of `serve`. Only the bodies at the entry were bounded, by their length, and read into buffers that double.

Change: both listeners are behind one guard (connections, header sections, bodies as they are read). A body that does not fit is answered 503 before the request runs. New setting memory_mb of `run` (default 136); the collector's limit is a share of it.

--- a/cmd/jujubestiled/run.go
+++ b/cmd/jujubestiled/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -70,6 +71,8 @@
 	}
 	d := daemon.New(s, log, tracer)
 	d.PublishVars()
+	debug.SetMemoryLimit(daemon.CollectorLimit(s))
+	defer d.WatchMemory()()
 	err = d.Run(ctx)
 	flush, cancel := context.WithTimeout(context.Background(), spanFlushTimeout)
 	defer cancel()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"jujubestile.example/jujubestile/internal/configsync"
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/rules"
 )
@@ -190,6 +191,8 @@
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, forward.ErrBodyRefused):
+		writeError(w, http.StatusServiceUnavailable, "too many bodies in memory")
 	case errors.As(err, &tooLarge):
 		writeError(w, http.StatusRequestEntityTooLarge, "the body is too large")
 	case err != nil:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,6 +86,8 @@
 	entry     *entry.Handler
 	lookups   *lookup.Service
 
+	// guard bounds what is held for callers and operators.
+	guard      *forward.Guard
 	servers    []*http.Server
 	background sync.WaitGroup
 	// ready is set once the instance has been ready. notReadyLogged is set
@@ -117,6 +119,7 @@
 		store:       platform.KV{Store: platform.NewStore(s.Store, storeTransport())},
 		source:      instancelist.NewClient(s.Platform.URL),
 	}
+	d.guard = d.newGuard()
 	d.rpc = peer.NewServer(peer.ServerOptions{OnPanic: d.logRPCPanic})
 	d.pool = peer.NewPool(func(id model.InstanceID) (netip.AddrPort, bool) { return d.members.Resolve(id) }, peer.PoolOptions{})
 	d.buildRules()
@@ -239,10 +242,11 @@
 		return err
 	}
 	d.goBackground(func() { _ = d.rpc.Serve(peerLn) })
-	if err := d.serve(d.settings.Listen.Entry, entry.NewServer(withTracing(d.tracer, d.entryHandler()))); err != nil {
+	callers, operators := connLimits(d.settings)
+	if err := d.serve(d.settings.Listen.Entry, callers, entry.NewServer(withTracing(d.tracer, d.entryHandler()))); err != nil {
 		return err
 	}
-	if err := d.serve(d.settings.Listen.Control, entry.NewServer(d.controlHandler())); err != nil {
+	if err := d.serve(d.settings.Listen.Control, operators, entry.NewServer(d.controlHandler())); err != nil {
 		return err
 	}
 	d.goBackground(func() { d.members.Run(ctx) })
@@ -278,13 +282,15 @@
 	return nil
 }
 
-func (d *Daemon) serve(addr netip.AddrPort, srv *http.Server) error {
+// serve serves callers or operators on at most conns connections.
+func (d *Daemon) serve(addr netip.AddrPort, conns int, srv *http.Server) error {
 	ln, err := listen(addr)
 	if err != nil {
 		return err
 	}
+	srv.Handler, srv.ConnContext = d.guard.BodyHandler(srv.Handler), forward.ConnContext
 	d.servers = append(d.servers, srv)
-	d.goBackground(func() { _ = srv.Serve(ln) })
+	d.goBackground(func() { _ = srv.Serve(d.guard.Listener(ln, conns)) })
 	return nil
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/ledger"
 	"jujubestile.example/jujubestile/internal/model"
 )
@@ -165,6 +166,8 @@
 	var tooLarge *http.MaxBytesError
 	var timeout interface{ Timeout() bool }
 	switch {
+	case errors.Is(err, forward.ErrBodyRefused):
+		return newProblem(http.StatusServiceUnavailable, "buffers", "Too many request bodies in memory", "").withRetryAfter(time.Second)
 	case errors.As(err, &tooLarge):
 		return newProblem(http.StatusRequestEntityTooLarge, "body-size", "Body over the limit", "")
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -48,6 +48,7 @@
 	"log.level":                enumField([]string{"debug", "info", "warn", "error"}, func(s *Settings) *string { return &s.Log.Level }),
 	"trace.file":               pathField(func(s *Settings) *string { return &s.Trace.File }),
 	"trace.sample":             fractionField(func(s *Settings) *float64 { return &s.Trace.Sample }),
+	"memory_mb":                intField(64, 1<<20, func(s *Settings) *int { return &s.MemoryMB }),
 	"distances":                nameListField(func(s *Settings) *[]model.Region { return &s.Distances }),
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,9 @@
 	// Distances lists the other regions by distance from this one, nearest
 	// first. Regions missing from the list come last, sorted by name.
 	Distances []model.Region `json:"distances"`
+	// MemoryMB is the memory of the machine in MB. What is held for callers and
+	// operators is bounded by shares of it.
+	MemoryMB int `json:"memory_mb"`
 }
 
 // Listen holds the addresses on which the instance listens, each an IP address
@@ -121,5 +124,6 @@
 		Shutdown: Shutdown{Announce: Duration(11 * time.Second), Grace: Duration(15 * time.Second)},
 		Log:      Log{Level: "info"},
 		Trace:    Trace{Sample: 0.01},
+		MemoryMB: 136,
 	}
 }
