--- a/cmd/jujubestiled/run.go
+++ b/cmd/jujubestiled/run.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/subcommands"
@@ -74,6 +75,8 @@
 	})
 	d := daemon.New(s, log, tracer)
 	d.PublishVars()
+	debug.SetMemoryLimit(daemon.CollectorLimit(s))
+	defer d.WatchMemory()()
 	err = d.Run(ctx)
 	flush, cancel := context.WithTimeout(context.Background(), spanFlushTimeout)
 	defer cancel()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,7 +26,6 @@
 	"jujubestile.example/jujubestile/internal/forward"
 	"jujubestile.example/jujubestile/internal/instancelist"
 	"jujubestile.example/jujubestile/internal/ledger"
-	"jujubestile.example/jujubestile/internal/linger"
 	"jujubestile.example/jujubestile/internal/lookup"
 	"jujubestile.example/jujubestile/internal/membership"
 	"jujubestile.example/jujubestile/internal/model"
@@ -88,8 +87,10 @@
 	entry     *entry.Handler
 	lookups   *lookup.Service
 
+	// guard bounds what is held for callers and operators.
+	guard      *forward.Guard
 	servers    []*http.Server
-	listeners  []*linger.Listener
+	listeners  []forward.Listener
 	background sync.WaitGroup
 	// ready is set once the instance has been ready. notReadyLogged is set
 	// once it is logged that the instance did not become ready in time.
@@ -120,6 +121,7 @@
 		store:       platform.KV{Store: platform.NewStore(s.Store, storeTransport())},
 		source:      instancelist.NewClient(s.Platform.URL),
 	}
+	d.guard = d.newGuard()
 	d.rpc = peer.NewServer(peer.ServerOptions{OnPanic: d.logRPCPanic})
 	d.pool = peer.NewPool(func(id model.InstanceID) (netip.AddrPort, bool) { return d.members.Resolve(id) }, peer.PoolOptions{})
 	d.buildRules()
@@ -242,10 +244,11 @@
 		return err
 	}
 	d.goBackground(func() { _ = d.rpc.Serve(peerLn) })
-	if err := d.serve(d.settings.Listen.Entry, entry.NewServer(withTracing(d.tracer, d.entryHandler()))); err != nil {
+	callers, operators := connLimits(d.settings)
+	if err := d.serve(d.settings.Listen.Entry, callers, entry.NewServer(withTracing(d.tracer, d.entryHandler()))); err != nil {
 		return err
 	}
-	if err := d.serve(d.settings.Listen.Control, control.NewServer(d.controlHandler())); err != nil {
+	if err := d.serve(d.settings.Listen.Control, operators, control.NewServer(d.controlHandler())); err != nil {
 		return err
 	}
 	d.goBackground(func() { d.members.Run(ctx) })
@@ -281,14 +284,16 @@
 	return nil
 }
 
-func (d *Daemon) serve(addr netip.AddrPort, srv *http.Server) error {
+// serve serves callers or operators on at most conns connections.
+func (d *Daemon) serve(addr netip.AddrPort, conns int, srv *http.Server) error {
 	ln, err := listen(addr)
 	if err != nil {
 		return err
 	}
-	staged := linger.NewListener(ln)
-	d.servers, d.listeners = append(d.servers, srv), append(d.listeners, staged)
-	d.goBackground(func() { _ = srv.Serve(staged) })
+	srv.Handler, srv.ConnContext, srv.ConnState = d.guard.BodyHandler(srv.Handler), forward.ConnContext, forward.ConnState
+	guarded := d.guard.Listener(ln, conns)
+	d.servers, d.listeners = append(d.servers, srv), append(d.listeners, guarded)
+	d.goBackground(func() { _ = srv.Serve(guarded) })
 	return nil
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -87,8 +87,8 @@
 	defer cancel()
 	unreceived := 0
 	for _, l := range d.listeners {
-		_ = l.Wait(ctx)
-		unreceived += l.Unreceived()
+		_ = l.AwaitReceived(ctx)
+		unreceived += l.Owing()
 	}
 	return unreceived
 }
--- a/internal/entry/unread_test.go
+++ b/internal/entry/unread_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"jujubestile.example/jujubestile/internal/linger"
+	"jujubestile.example/jujubestile/internal/forward"
 )
 
 // startEntry serves the handler and returns its address.
@@ -19,8 +19,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(h)
-	go func() { _ = s.Serve(linger.NewListener(ln)) }()
+	g, s := forward.NewGuard(forward.GuardConfig{}), NewServer(h)
+	s.Handler, s.ConnContext, s.ConnState = g.BodyHandler(s.Handler), forward.ConnContext, forward.ConnState
+	go func() { _ = s.Serve(g.Listener(ln, 0)) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return ln.Addr().String()
 }
--- a/internal/linger/listener_test.go
+++ b/internal/forward/closing_test.go
@@ -1,4 +1,4 @@
-package linger
+package forward
 
 import (
 	"bufio"
@@ -24,14 +24,16 @@
 	limit = 5 * time.Second
 )
 
-// start serves h on a listener.
-func start(t *testing.T, s *http.Server) *Listener {
+// start serves on a guarded listener.
+func start(t *testing.T, s *http.Server) Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := NewListener(ln)
+	g := NewGuard(GuardConfig{})
+	l := g.Listener(ln, 0)
+	s.Handler, s.ConnContext, s.ConnState = g.BodyHandler(s.Handler), ConnContext, ConnState
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return l
@@ -170,15 +172,15 @@
 	_ = half.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), pause)
 	defer cancel()
-	if err := l.Wait(ctx); !errors.Is(err, context.DeadlineExceeded) {
+	if err := l.AwaitReceived(ctx); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("the wait ended with an answer unsent: %v", err)
 	}
-	if n := l.Unreceived(); n != 1 {
+	if n := l.Owing(); n != 1 {
 		t.Errorf("%d answers unreceived, want 1", n)
 	}
 	expect(t, bufio.NewReader(whole), http.StatusOK, answerBytes)
 	_ = whole.Close()
-	if err := l.Wait(t.Context()); err != nil {
+	if err := l.AwaitReceived(t.Context()); err != nil {
 		t.Errorf("connections left: %v", err)
 	}
 }
--- a/internal/forward/unfinished.go
+++ b/internal/forward/unfinished.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"slices"
 	"time"
@@ -15,6 +16,22 @@
 // answer.
 func (l Listener) Owing() int { return int(l.group.owing.Load()) }
 
+// awaitInterval is how often AwaitReceived looks at the connections.
+const awaitInterval = 10 * time.Millisecond
+
+// AwaitReceived waits until no caller still receives an answer, or until the context ends,
+// whose error it returns.
+func (l Listener) AwaitReceived(ctx context.Context) error {
+	for l.Owing() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(awaitInterval):
+		}
+	}
+	return nil
+}
+
 // maxUnfinishedLines bounds the lines on requests that a planned stop cuts.
 const maxUnfinishedLines = 50
 
