forward: a connection that has been closed reads and writes as such

Found by reading: net/http answers half a request with 400 when the server is closed, if it takes the error of a connection for a malformed request. A guarded connection reported a plain error behind Close, and since connections are closed in stages its write side is open for a moment longer.

Reads and writes behind Close report what a closed TCP connection does.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -352,6 +352,12 @@
 
 // Write implements net.Conn.
 func (a *guardedConn) Write(p []byte) (int, error) {
+	a.mu.Lock()
+	closed := a.closed
+	a.mu.Unlock()
+	if closed {
+		return 0, a.closedError("write")
+	}
 	done := 0
 	for done < len(p) {
 		n, err := a.Conn.Write(p[done:min(done+writeStep, len(p))])
--- a/internal/forward/conn_close.go
+++ b/internal/forward/conn_close.go
@@ -20,7 +20,7 @@
 	a.closed = true
 	lingers := a.mayLinger()
 	if a.err == nil {
-		a.err = net.ErrClosed
+		a.err = a.closedError("read")
 	}
 	if a.timer != nil {
 		a.timer.Stop()
@@ -36,6 +36,12 @@
 	return a.Conn.SetReadDeadline(time.Unix(1, 0)) // Wakes the read loop.
 }
 
+// closedError returns the error of a net.TCPConn that is closed: net/http answers other
+// errors of reading a request.
+func (a *guardedConn) closedError(op string) error {
+	return &net.OpError{Op: op, Net: "tcp", Source: a.LocalAddr(), Addr: a.RemoteAddr(), Err: net.ErrClosed}
+}
+
 // mayLinger reports whether the caller may send requests behind an answer that it has
 // not received. The caller of this method holds the mutex.
 func (a *guardedConn) mayLinger() bool {
