bound: measure after the collection that a waiter starts

Seen: TestWatchHeap failed in 1 of 2 runs: a waiter was not granted after the memory had been freed.

Cause: a collection that begins before the next measurement is armed is not measured.

Change: what is uncharged is measured right after a collection that a waiter starts.

--- a/internal/bound/bound.go
+++ b/internal/bound/bound.go
@@ -39,6 +39,7 @@
 	// uncharged is what takes memory besides the charges, and collectedAt when it was
 	// last measured for a waiter, in Unix nanoseconds.
 	uncharged, collectedAt atomic.Int64
+	watch                  atomic.Pointer[heapWatch]
 	// waiting counts the waiters of each class.
 	waiting [classes]atomic.Int64
 
--- a/internal/bound/heap.go
+++ b/internal/bound/heap.go
@@ -14,6 +14,7 @@
 	for i, m := range heapMetrics {
 		w.samples[i].Name = m.name
 	}
+	b.watch.Store(w)
 	w.arm()
 	return w.stop
 }
@@ -80,8 +81,12 @@
 // load, the next one is far away.
 func (b *Budget) collect() {
 	now, last := time.Now().UnixNano(), b.collectedAt.Load()
-	if b.uncharged.Load() > 0 && now-last >= int64(collectInterval) && b.collectedAt.CompareAndSwap(last, now) {
-		go runtime.GC()
+	w := b.watch.Load()
+	if w != nil && now-last >= int64(collectInterval) && b.collectedAt.CompareAndSwap(last, now) {
+		go func() {
+			runtime.GC()
+			w.measure() // The collection may have begun before arm.
+		}()
 	}
 }
 
