--- a/internal/forward/listener.go
+++ b/internal/forward/listener.go
@@ -136,10 +136,10 @@
 }
 
 // leastUseful returns the connection to close when there is no room: the oldest that
-// has sent no whole request, or else the one that its caller has not closed for longest
-// though the instance has, or else the one that is idle for longest, or else the one
-// that has made no progress for longest. It is false if all are in use, which those are
-// whose callers still receive an answer.
+// has sent no whole request, or else the one that has waited longest for its caller to
+// close it, or else the one that is idle for longest, or else the one that has made no
+// progress for longest. It is false if all are in use. A connection whose caller still
+// receives an answer counts as in use.
 func (of *group) leastUseful(now time.Time) (candidate, bool) {
 	var unused, closing, idle, stalled candidate
 	older := func(c, than candidate) bool { return than.conn == nil || c.since < than.since }
