serve: more room for the program on small machines

Cause: what the collector is late to free grows with the load of the machine, and 24 MB for the program and that left next to nothing. It is 28 MB now, which changes the shares on machines of less than 94 MB.

--- a/internal/serve/bounds.go
+++ b/internal/serve/bounds.go
@@ -39,7 +39,7 @@
 	defaultPeerMemory                       = 0.05
 	// programMemory is what the program takes beside the Go heap: its text, and what the
 	// collector is late to free.
-	programMemory Megabytes = 24
+	programMemory Megabytes = 28
 	// maxHeapShare is the share of the collector's limit that is in use at most, as far
 	// as callers decide. Closer to the limit it runs all the time.
 	maxHeapShare = 0.93
