serve, steering: log grace periods for missing endpoints, and endpoints that stay

Cause: nothing in the log told why the endpoint of a removed entry stayed in use: event 204 has the time for which this instance had no response, also if it made no calls, and the grace period that follows was not logged, nor was one that another instance had reported. An entry that made a leaving endpoint usable again was not logged either.

Change: event 850 for the begin of a grace period, its reason, source and the longest known silence of the store, and for its early end; 831 has the change staying. No change of decisions.

--- a/internal/events/catalogue_serve.go
+++ b/internal/events/catalogue_serve.go
@@ -51,7 +51,7 @@
 		"An endpoint that has started or recovered gets few requests at first (phase starting), or gets them by cost alone again (phase steady). The field reason says why: added, restarted, cold, recovered, unreachable, ejected or slow; grown at the end.",
 		"None for single endpoints. If one starts again and again, check the endpoint."}
 	EndpointChanged = Event{831, "endpoint changed", zerolog.InfoLevel,
-		"Discovery shows an endpoint as added, restarted, leaving, cold, returned, lapsed or gone, according to the field change. The change outdated means that a restored store has an older entry, which is not used.",
+		"Discovery shows an endpoint as added, restarted, leaving, staying (it was leaving and is ready again), cold, returned, lapsed or gone, according to the field change. A lapsed one stays in use until the grace period of event 850 ends. The change outdated means that a restored store has an older entry, which is not used.",
 		"None."}
 	EndpointInvalid = Event{832, "endpoint entry unreadable", zerolog.WarnLevel,
 		"A discovery entry cannot be parsed, so no endpoint is taken from it.",
@@ -107,6 +107,9 @@
 	AnnouncementFailed = Event{845, "announcement failed", zerolog.WarnLevel,
 		"The instance could not write its address to the store. It retries.",
 		"None while the store is unavailable."}
+	MissingGrace = Event{850, "grace period for missing endpoints", zerolog.InfoLevel,
+		"Endpoints whose entries are missing stay in use for a time, because entries lapse while the store is down, or the grace period has ended early, according to the field phase (begins or needless). The field reason is outage, restored or unknown, from is store or the instance that reported it, left_ms the rest of the period. For an outage, outage_ms is its length and silence_ms the longest time in it without a known response of the store to any instance.",
+		"None. If the store was not down, look for 203 and 842 at the instance named in from: it has lost the store, or the instances that watch it."}
 	LeaseLost = Event{851, "authorization lease lost", zerolog.WarnLevel,
 		"The instance does not know whether its desired state is recent enough to judge API keys, and refuses the requests that need one. The field age_ms is the age of the last proof.",
 		"Check the store, and whether the instances that watch it reach it. If event 822 is there too, write a valid desired state."}
--- a/internal/serve/changes.go
+++ b/internal/serve/changes.go
@@ -170,9 +170,9 @@
 func (in *Instance) applyChanges(from model.InstanceID, before, at mirror.Position, c Changes) error {
 	switch now := time.Now(); {
 	case c.Grace > 0 && c.OutageFrom > c.OutageTo:
-		in.startOutageGrace(c.Grace, storeOutage{now.Add(-c.OutageFrom), now.Add(-c.OutageTo)})
+		in.startOutageGrace(c.Grace, storeOutage{now.Add(-c.OutageFrom), now.Add(-c.OutageTo)}, from)
 	case c.Grace > 0:
-		in.startMissingGrace(c.Grace)
+		in.startMissingGrace(c.Grace, graceUnknown, from)
 	}
 	in.counters.changesFetched.Add(1)
 	if !c.Whole {
--- a/internal/serve/outage.go
+++ b/internal/serve/outage.go
@@ -2,6 +2,9 @@
 
 import (
 	"time"
+
+	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/model"
 )
 
 // The entries of live endpoints lapse while the store is down and are back soon after
@@ -36,32 +39,52 @@
 
 // startMissingGrace starts the grace period for missing endpoint entries, or
 // extends it, so that it lasts at least d from now.
-func (in *Instance) startMissingGrace(d time.Duration) {
+func (in *Instance) startMissingGrace(d time.Duration, reason string, from model.InstanceID) {
 	in.applyMu.Lock()
 	defer in.applyMu.Unlock()
 	in.outage = storeOutage{}
-	in.extendMissingGrace(d)
+	in.extendMissingGrace(d, reason, from)
 }
 
 // startOutageGrace is startMissingGrace for a grace period that may turn out to be
 // unnecessary.
-func (in *Instance) startOutageGrace(d time.Duration, o storeOutage) {
+func (in *Instance) startOutageGrace(d time.Duration, o storeOutage, from model.InstanceID) {
 	in.applyMu.Lock()
 	defer in.applyMu.Unlock()
 	if time.Now().Before(in.missingGraceUntil) {
 		o = in.outage.join(o)
 	}
 	in.outage = o
-	in.extendMissingGrace(d)
+	in.extendMissingGrace(d, graceAfterOutage, from)
 }
 
+// Reasons for a grace period in event 850.
+const (
+	graceAfterOutage  = "outage"
+	graceAfterRestore = "restored"
+	graceUnknown      = "unknown"
+)
+
 // extendMissingGrace makes the grace period last at least d from now. applyMu is held.
-func (in *Instance) extendMissingGrace(d time.Duration) {
-	if until := time.Now().Add(d); until.After(in.missingGraceUntil) {
+// A period that another instance has reported is logged once.
+func (in *Instance) extendMissingGrace(d time.Duration, reason string, from model.InstanceID) {
+	now := time.Now()
+	if until := now.Add(d); until.After(in.missingGraceUntil) {
+		if from == "" || !now.Before(in.missingGraceUntil) {
+			in.logGrace("begins", reason, from, d)
+		}
 		in.missingGraceUntil = until
 	}
 }
 
+func (in *Instance) logGrace(phase, reason string, from model.InstanceID, left time.Duration) {
+	line := in.log.Log(events.MissingGrace).Str("phase", phase).Str("reason", reason).Str("from", origin(from)).Dur("left_ms", left)
+	if o := in.outage; o != (storeOutage{}) {
+		line = line.Dur("outage_ms", o.to.Sub(o.from)).Dur("silence_ms", in.members.LongestStoreSilence(o.from, o.to))
+	}
+	line.Send()
+}
+
 // endNeedlessGrace ends the grace period if the store was not down. It returns the end
 // that the period would have had, or now.
 func (in *Instance) endNeedlessGrace(now time.Time) time.Time {
@@ -69,6 +92,7 @@
 	if in.outage == (storeOutage{}) || !now.Before(until) || in.members.LongestStoreSilence(in.outage.from, in.outage.to) > maxResponseGap {
 		return now
 	}
+	in.logGrace("needless", graceAfterOutage, "", until.Sub(now))
 	in.outage, in.missingGraceUntil = storeOutage{}, time.Time{}
 	return until
 }
--- a/internal/serve/outage_test.go
+++ b/internal/serve/outage_test.go
@@ -35,7 +35,7 @@
 		in.table.Put(steering.Endpoint{ID: "e", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Slots: 1, Domain: "d"}, now)
 		// Each fetch of changes reports the outage again.
 		for range 3 {
-			in.startOutageGrace(missingGrace, storeOutage{now.Add(-outage), now})
+			in.startOutageGrace(missingGrace, storeOutage{now.Add(-outage), now}, "")
 		}
 		in.applyMu.Lock()
 		in.applyEndpoint("e", mirror.Event{Item: mirror.Item{Key: "servers/e", Revision: 2}, Deleted: true}, 0, now)
--- a/internal/serve/restore.go
+++ b/internal/serve/restore.go
@@ -21,7 +21,7 @@
 // era. from is the instance that reported it, or empty for the store.
 func (in *Instance) storeRestored(from model.InstanceID, before, now mirror.Position) {
 	if from == "" {
-		in.startMissingGrace(missingGrace)
+		in.startMissingGrace(missingGrace, graceAfterRestore, "")
 	}
 	in.applyMu.Lock()
 	known := in.restoredEra >= now.Era
--- a/internal/serve/settle_test.go
+++ b/internal/serve/settle_test.go
@@ -21,7 +21,7 @@
 	put := mirror.Event{Item: mirror.Item{Key: "op/evacuate/b1", Revision: 7}}
 	in.applyEvacuation("b1", put, false, now)
 	in.applyEvacuation("b1", mirror.Event{Item: mirror.Item{Key: put.Key, Revision: 9}, Deleted: true}, false, now)
-	in.startMissingGrace(missingGrace)
+	in.startMissingGrace(missingGrace, graceAfterOutage, "")
 	in.applyEvacuation("b1", put, true, now)
 	in.storeLost.Store(true)
 	in.settleRestore(now.Add(missingGrace + time.Minute))
@@ -35,7 +35,7 @@
 func TestDeferredChangesAwaitTheStore(t *testing.T) {
 	in := New(Settings{Instance: "i0"}, events.New(io.Discard, zerolog.Disabled, "i0"))
 	in.storeLost.Store(true)
-	in.startMissingGrace(missingGrace)
+	in.startMissingGrace(missingGrace, graceAfterOutage, "")
 	now := time.Now().Add(missingGrace + time.Second)
 	if !in.awaitsStore(now) {
 		t.Error("changes are applied although no instance watches the store")
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -57,7 +57,7 @@
 			in.storeLost.Store(false)
 			in.log.Log(events.StoreAvailable).Dur("outage_ms", outage).Send()
 			if now := time.Now(); outage > shortOutage {
-				in.startOutageGrace(missingGrace, storeOutage{now.Add(-outage), now})
+				in.startOutageGrace(missingGrace, storeOutage{now.Add(-outage), now}, "")
 			}
 		},
 		OnCompacted: func(at mirror.Position) {
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -157,7 +157,7 @@
 }
 
 // Put adds or updates an endpoint. It returns the kind of change: "added",
-// "restarted", "leaving", "cold", "returned", or "" for any other change.
+// "restarted", "leaving", "staying", "cold", "returned", or "" for any other change.
 func (t *Table) Put(e Endpoint, now time.Time) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -185,6 +185,8 @@
 	switch {
 	case e.Leaving && !old.Leaving:
 		change = "leaving"
+	case old.Leaving && !e.Leaving:
+		change = "staying"
 	case e.ColdFor > 0 && !old.isCold(now):
 		change = "cold"
 	case !old.missingUntil.IsZero():
