serve: failing test of an endpoint that leaves while watchers are replaced

What callers see: requests reach an endpoint up to 3.4 s after its entry was removed. Instances that lost the store in an earlier outage, and have not called it since, take the time until they take over for another one.

--- a/internal/serve/watchers_test.go
+++ b/internal/serve/watchers_test.go
@@ -93,21 +93,50 @@
 		in.store.ClearFaults()
 	}
 	time.Sleep(drainBound + time.Second)
+	c.checkDropped(gone.ID(), removed)
+}
+
+// checkDropped checks that all instances have dropped an endpoint within drainBound
+// after its entry was removed.
+func (c *cluster) checkDropped(endpoint string, removed time.Time) {
+	c.t.Helper()
 	dropped := 0
 	for _, line := range c.logs.Lines() {
-		if line["endpoint"] != gone.ID() || line["change"] != "gone" {
+		if line["endpoint"] != endpoint || line["change"] != "gone" {
 			continue
 		}
 		dropped++
 		at, err := time.Parse(time.RFC3339, fmt.Sprint(line["time"]))
 		if err != nil {
-			t.Fatal(err)
+			c.t.Fatal(err)
 		}
 		if late := at.Sub(removed); late > drainBound {
-			t.Errorf("%s used the endpoint for %s after its entry had gone", line["instance"], late)
+			c.t.Errorf("%s used the endpoint for %s after its entry had gone", line["instance"], late)
 		}
 	}
 	if dropped != len(c.instances) {
-		t.Errorf("%d of %d instances have dropped the endpoint", dropped, len(c.instances))
+		c.t.Errorf("%d of %d instances have dropped the endpoint", dropped, len(c.instances))
+	}
+}
+
+// Guards against an endpoint that has left and stays in use, because the instances
+// that take over the watch of the store lost it in an earlier outage, and take the time
+// without a watcher for another one in which the entries of live endpoints lapse.
+func TestEndpointLeavesWhileWatchersAreReplacedAfterAnOutage(t *testing.T) {
+	c := startCluster(t, 12, 6, true)
+	time.Sleep(2 * time.Second) // All watches wait, and heartbeats name the watchers.
+	for _, in := range c.instances {
+		in.store.Silence()
+	}
+	time.Sleep(3 * time.Second) // Each instance asks the store in vain.
+	for _, in := range c.instances {
+		in.store.ClearFaults()
 	}
+	time.Sleep(4 * time.Second) // The grace period for missing entries has ended.
+	gone := c.endpoints[0]
+	c.silenceStore("a", "b")
+	removed := time.Now()
+	c.store.RemoveEndpoint(gone.ID())
+	time.Sleep(2 * drainBound)
+	c.checkDropped(gone.ID(), removed)
 }
