mirror, serve: an outage is the time without a response to any instance

Cause: a follower remembered that the source was unavailable until its own next successful call. Instances that had tried the store in an outage and were then not to watch it made no such call. A follower whose first call in a long time failed even reported an outage since its last own response.

Change: an outage begins with a failed call, at the last response to any process that the copy knows of, and ends with the first response to this process or another one after the last failed call (Copy.Confirm). Its end is reported apart from that of the follower's own trouble, which events 203 and 204 tell.

--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -30,10 +30,17 @@
 	// with each consecutive failure.
 	RetryMin, RetryMax time.Duration
 	// OnUnavailable and OnAvailable are called when the source becomes
-	// unavailable and available again. OnAvailable is called before the missed
-	// changes are applied; outage is the time since the last response.
+	// unavailable to this process and available again. OnAvailable is called before
+	// the missed changes are applied; outage is the time since the source last
+	// responded to any process, as far as this one knows.
 	OnUnavailable func(error)
 	OnAvailable   func(outage time.Duration)
+	// OnOutageEnd is called once it is known that the source responds again, to this
+	// process or another one: with the times of the last response to any of them
+	// before calls of this process failed, and of the first one after. It is called
+	// before changes that this process has got from the source itself are applied. It
+	// may be nil.
+	OnOutageEnd func(from, to time.Time)
 	// OnCompacted is called when the source no longer has the history after the
 	// position of the copy.
 	OnCompacted func(at Position)
@@ -43,11 +50,23 @@
 	// Observer is told what the source has responded, unless it is nil.
 	Observer Observer
 
-	listed           bool
-	unavailableSince time.Time
-	// unavailableAt is the position of the copy at unavailableSince.
-	unavailableAt Position
-	eras          eras
+	listed bool
+	// lost is set from a failed call until a successful one.
+	lost   bool
+	outage outage
+	eras   eras
+}
+
+// outage is a time in which a source is not known to respond to any process. It
+// begins only with a failed call: a process that makes none knows nothing of the
+// source but what others show of it.
+type outage struct {
+	// from is when the source last responded. It is zero if there is no outage.
+	from time.Time
+	// at is the position of the copy at that time.
+	at Position
+	// failedAt is when the last failed call ended.
+	failedAt time.Time
 }
 
 // Observer is told what a source has responded once the copy contains it and its
@@ -73,7 +92,7 @@
 	for ctx.Err() == nil {
 		if f.Copy.Loaded() && !f.Active() {
 			f.Copy.setWatching(false)
-			f.noteFollowedByOthers()
+			f.noteOthers()
 			f.listed = true // The others complete the copy.
 			sleep(ctx, inactivePollInterval)
 			continue
@@ -87,23 +106,57 @@
 			return
 		}
 		f.Copy.setWatching(false)
-		if f.unavailableSince.IsZero() {
-			f.unavailableSince = f.Copy.lastResponse(time.Now())
-			f.unavailableAt, _ = f.Copy.Position(time.Now())
+		f.callFailed(time.Now())
+		if !f.lost {
+			f.lost = true
 			f.OnUnavailable(err)
 		}
 		sleep(ctx, pause)
+		f.noteOthers()
 		pause = min(2*pause, f.RetryMax)
 	}
 }
 
-// noteFollowedByOthers lets an outage begin no earlier than the last change that
-// the copy got from another process, to which the source responds.
-func (f *Follower) noteFollowedByOthers() {
-	at, _ := f.Copy.Position(time.Now())
-	if !f.unavailableSince.IsZero() && f.unavailableAt.Before(at) {
-		f.unavailableSince, f.unavailableAt = time.Now(), at
+// callFailed records a failed call, with which an outage begins unless there is one.
+func (f *Follower) callFailed(now time.Time) {
+	if f.outage.from.IsZero() {
+		if f.outage.from = f.Copy.lastKnownResponse(); f.outage.from.IsZero() {
+			f.outage.from = now
+		}
+		f.outage.at, _ = f.Copy.Position(now)
+	}
+	f.outage.failedAt = now
+}
+
+// noteOthers ends an outage if the source has responded to another process since the
+// last failed call. An outage begins no earlier than the last change that the copy got
+// from another process. noteOthers returns the length of an outage that it ended.
+func (f *Follower) noteOthers() time.Duration {
+	if f.outage.from.IsZero() {
+		return 0
+	}
+	now := time.Now()
+	if at := f.Copy.lastKnownResponse(); at.After(f.outage.failedAt) {
+		return f.endOutage(at)
+	}
+	if at, _ := f.Copy.Position(now); f.outage.at.Before(at) {
+		f.outage.from, f.outage.at = now, at
+	}
+	return 0
+}
+
+// endOutage ends the outage, if there is one, with a response at a time. It returns
+// the length of the outage.
+func (f *Follower) endOutage(at time.Time) time.Duration {
+	from := f.outage.from
+	if from.IsZero() {
+		return 0
+	}
+	f.outage = outage{}
+	if f.OnOutageEnd != nil {
+		f.OnOutageEnd(from, at)
 	}
+	return at.Sub(from)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -120,7 +173,7 @@
 	}
 	watch, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if f.unavailableSince.IsZero() {
+	if !f.lost {
 		f.Copy.setWatching(true)
 	}
 	v := &verifier{follower: f, eras: f.eras, cancel: cancel}
@@ -199,7 +252,7 @@
 const unavailableWatchTimeout = 200 * time.Millisecond
 
 func (f *Follower) watchTimeout() time.Duration {
-	if !f.unavailableSince.IsZero() {
+	if f.lost {
 		return unavailableWatchTimeout
 	}
 	return f.WatchTimeout
@@ -208,10 +261,12 @@
 // sourceResponded records a response of the source, and the end of an outage if
 // there was one.
 func (f *Follower) sourceResponded() {
+	outage := f.noteOthers()
 	f.Copy.recordResponse()
-	if !f.unavailableSince.IsZero() {
-		f.OnAvailable(time.Since(f.unavailableSince))
-		f.unavailableSince = time.Time{}
+	outage = max(outage, f.endOutage(time.Now()))
+	if f.lost {
+		f.lost = false
+		f.OnAvailable(outage)
 	}
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -290,12 +290,13 @@
 	return applied
 }
 
-// lastResponse returns when the source last responded, or now if it never has.
-func (c *Copy) lastResponse(now time.Time) time.Time {
+// lastKnownResponse returns when the source is last known to have responded to this
+// process or another one, or the zero time.
+func (c *Copy) lastKnownResponse() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.respondedAt.IsZero() {
-		return now
+	if c.confirmedAt.After(c.respondedAt) {
+		return c.confirmedAt
 	}
 	return c.respondedAt
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -274,6 +274,54 @@
 	}
 }
 
+// outageFollower returns a follower of a source whose copy was last confirmed at a
+// time, and the outages that end.
+func outageFollower(confirmed time.Time) (*Follower, *[]time.Duration) {
+	s, c := newSource(), New(func(Batch) {})
+	c.Replace("i1", nil, Position{Revision: 1})
+	s.at = 1
+	c.Confirm(Position{Revision: 1}, confirmed)
+	var ended []time.Duration
+	return &Follower{Copy: c, Source: s, Active: func() bool { return true }, WatchTimeout: 20 * time.Millisecond, VerifyInterval: time.Second,
+		OnUnavailable: func(error) {}, OnAvailable: func(time.Duration) {}, listed: true,
+		OnOutageEnd: func(from, to time.Time) { ended = append(ended, to.Sub(from)) }}, &ended
+}
+
+// Guards against an outage that begins with the last response to a process which has
+// made no calls for long, although the source has responded to others since.
+func TestOutageBeginsWithTheLastResponseToAnyProcess(t *testing.T) {
+	now := time.Now()
+	f, ended := outageFollower(now)
+	f.Copy.respondedAt = now.Add(-time.Minute)
+	f.callFailed(now.Add(100 * time.Millisecond))
+	time.Sleep(150 * time.Millisecond)
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if len(*ended) != 1 || (*ended)[0] < 100*time.Millisecond || (*ended)[0] > 2*time.Second {
+		t.Errorf("outages of %v", *ended)
+	}
+}
+
+// Guards against an outage that goes on after the source has responded to another
+// process, and against one that ends with a response from before it.
+func TestOutageEndsWithAResponseToAnotherProcess(t *testing.T) {
+	now := time.Now()
+	f, ended := outageFollower(now)
+	f.callFailed(now.Add(2 * time.Second))
+	f.Copy.Confirm(Position{Revision: 1}, now.Add(time.Second))
+	f.noteOthers()
+	if len(*ended) > 0 {
+		t.Errorf("a response from before the failed call ended the outage")
+	}
+	f.Copy.Confirm(Position{Revision: 1}, now.Add(3*time.Second))
+	f.noteOthers()
+	f.noteOthers()
+	if len(*ended) != 1 || (*ended)[0] != 3*time.Second {
+		t.Errorf("outages of %v, want one of 3s", *ended)
+	}
+}
+
 // Guards against calls of the store by an instance that is not to watch it,
 // except for the first listing.
 func TestInactiveMakesNoCalls(t *testing.T) {
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -56,8 +56,10 @@
 		OnAvailable: func(outage time.Duration) {
 			in.storeLost.Store(false)
 			in.log.Log(events.StoreAvailable).Dur("outage_ms", outage).Send()
-			if now := time.Now(); outage > shortOutage {
-				in.startOutageGrace(missingGrace, storeOutage{now.Add(-outage), now}, "")
+		},
+		OnOutageEnd: func(from, to time.Time) {
+			if to.Sub(from) > shortOutage {
+				in.startOutageGrace(missingGrace-time.Since(to), storeOutage{from, to}, "")
 			}
 		},
 		OnCompacted: func(at mirror.Position) {
