serve: no grace period after a short time without a watcher

If the instances that watch the store in all regions are lost at the same moment, nobody knows of a response for 1.0 to 1.5 s. Instances whose calls failed in that time took it for an outage and kept endpoints that had gone for another 2.2 s.

Cause: any silence above 0.9 s counted as an outage in which entries lapse. An entry lapses only after three heartbeats of its endpoint without a report.

Change: the setting store.heartbeat, which the platform fills in; a silence of up to 1.5 heartbeats (2.25 s on all deployments) is harmless, and starts no grace period, whoever reports it. Without the setting all is as before.

Evidence: TestTimeWithoutAWatcherIsNoOutage fails with the limit of 0.9 s.

--- a/internal/serve/outage.go
+++ b/internal/serve/outage.go
@@ -12,7 +12,9 @@
 // An instance with a slow machine or link may lose the store while it serves the other
 // instances. No entry lapses then, and those that are missing are of endpoints that
 // have gone. The grace period therefore ends as soon as it is known that the store
-// responded to other instances all the while.
+// responded to other instances all the while. Nor does an entry lapse while an endpoint
+// is silent for a short time only, such as that between the loss of the instances that
+// watch the store and the takeover by others.
 
 // storeOutage is a time in which the store responded neither to this instance nor to
 // the one from which it has fetched changes.
@@ -33,9 +35,27 @@
 	return o
 }
 
-// maxResponseGap is the longest time between two responses of a store that is not
-// down, as far as other instances report them.
-const maxResponseGap = 900 * time.Millisecond
+const (
+	// maxResponseGap is the longest time between two responses of a store that is not
+	// down, as far as other instances report them.
+	maxResponseGap = 900 * time.Millisecond
+	// harmlessHeartbeats is the length of an outage in which no entry lapses, in
+	// heartbeats of endpoints. An entry lapses after three without a report. The last
+	// report may be one heartbeat old when an outage begins; half of one is for reports
+	// that are late.
+	harmlessHeartbeats = 1.5
+)
+
+// maxHarmlessSilence returns the longest time without a known response of the store to
+// any instance after which no entry can have lapsed.
+func (in *Instance) maxHarmlessSilence() time.Duration {
+	return max(maxResponseGap, time.Duration(harmlessHeartbeats*float64(in.settings.Store.Heartbeat)))
+}
+
+// harmless reports whether no entry can have lapsed in an outage.
+func (in *Instance) harmless(o storeOutage) bool {
+	return in.members.LongestStoreSilence(o.from, o.to) <= in.maxHarmlessSilence()
+}
 
 // startMissingGrace starts the grace period for missing endpoint entries, or
 // extends it, so that it lasts at least d from now.
@@ -47,8 +67,11 @@
 }
 
 // startOutageGrace is startMissingGrace for a grace period that may turn out to be
-// unnecessary.
+// unnecessary. It does nothing if the outage is known to be harmless.
 func (in *Instance) startOutageGrace(d time.Duration, o storeOutage, from model.InstanceID) {
+	if d <= 0 || in.harmless(o) {
+		return
+	}
 	in.applyMu.Lock()
 	defer in.applyMu.Unlock()
 	if time.Now().Before(in.missingGraceUntil) {
@@ -85,11 +108,11 @@
 	line.Send()
 }
 
-// endNeedlessGrace ends the grace period if the store was not down. It returns the end
+// endNeedlessGrace ends the grace period if no entry can have lapsed. It returns the end
 // that the period would have had, or now.
 func (in *Instance) endNeedlessGrace(now time.Time) time.Time {
 	until := in.missingGraceUntil
-	if in.outage == (storeOutage{}) || !now.Before(until) || in.members.LongestStoreSilence(in.outage.from, in.outage.to) > maxResponseGap {
+	if in.outage == (storeOutage{}) || !now.Before(until) || !in.harmless(in.outage) {
 		return now
 	}
 	in.logGrace("needless", graceAfterOutage, "", until.Sub(now))
--- a/internal/serve/outage_test.go
+++ b/internal/serve/outage_test.go
@@ -11,6 +11,7 @@
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/fleet"
 	"jujubestile.example/jujubestile/internal/mirror"
+	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/steering"
 )
 
@@ -53,3 +54,32 @@
 		}
 	}
 }
+
+// Guards against an endpoint that has gone and stays in use for a grace period because
+// all instances that watch the store were lost at the same moment: no entry lapses in
+// the time until others take over, or while other instances report an outage that short.
+func TestTimeWithoutAWatcherIsNoOutage(t *testing.T) {
+	const heartbeat = 1500 * time.Millisecond
+	for _, test := range []struct {
+		silence time.Duration
+		gone    bool
+	}{
+		{1500 * time.Millisecond, true},
+		// A live endpoint reports each heartbeat, and its entry outlives three.
+		{2 * heartbeat, false},
+		{3 * heartbeat, false},
+	} {
+		for _, from := range []model.InstanceID{"", "i1"} {
+			in := New(Settings{Domain: "d", Region: "r", Store: StoreSettings{Heartbeat: Duration(heartbeat)}}, events.New(io.Discard, zerolog.Disabled, "i0"))
+			now := time.Now()
+			in.table.Put(steering.Endpoint{ID: "e", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Slots: 1, Domain: "d"}, now)
+			in.startOutageGrace(missingGrace, storeOutage{now.Add(-test.silence), now}, from)
+			in.applyMu.Lock()
+			in.applyEndpoint("e", mirror.Event{Item: mirror.Item{Key: "servers/e", Revision: 2}, Deleted: true}, 0, now)
+			in.applyMu.Unlock()
+			if _, used := in.table.Lookup("e"); used == test.gone {
+				t.Errorf("after %s without a response of the store, reported by %q: the endpoint is in use: %t", test.silence, from, used)
+			}
+		}
+	}
+}
--- a/internal/serve/settings.go
+++ b/internal/serve/settings.go
@@ -71,6 +71,10 @@
 // StoreSettings locates the platform's store.
 type StoreSettings struct {
 	Address netip.AddrPort `json:"address"`
+	// Heartbeat is the time between two reports of an endpoint to the store, which
+	// removes its entry after three without one. 0 means unknown: then any noticeable
+	// outage counts as one in which entries lapse.
+	Heartbeat Duration `json:"heartbeat"`
 }
 
 // Bounds holds the limits that the platform imposes on the instance.
@@ -222,6 +226,7 @@
 		{"listen.lookups", s.Listen.Lookups.IsValid(), s.Listen.Lookups, address},
 		{"listen.peer", s.Listen.Peer.IsValid(), s.Listen.Peer, address},
 		{"store.address", s.Store.Address.IsValid(), s.Store.Address, address},
+		{"store.heartbeat", s.Store.Heartbeat >= 0, time.Duration(s.Store.Heartbeat), "0s (unknown) or more"},
 		{"bounds.grace", b.Grace >= Duration(time.Second), time.Duration(b.Grace), "at least 1s"},
 		{"bounds.retry_ratio", b.RetryRatio >= 0 && b.RetryRatio <= 1, b.RetryRatio, "0 to 1"},
 		{"bounds.retry_slack", b.RetrySlack >= 0, b.RetrySlack, "0 or more"},
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -34,10 +34,6 @@
 	// use although its entry is missing. Live endpoints write their entries again
 	// within 2 s.
 	missingGrace = 2200 * time.Millisecond
-	// shortOutage is the longest outage that needs no grace period, because no
-	// entry expires in it. It is above the time between two responses of a store
-	// that works.
-	shortOutage = verifyInterval + 300*time.Millisecond
 )
 
 // followStore keeps the copy of the store up to date while this instance is the
@@ -58,9 +54,7 @@
 			in.log.Log(events.StoreAvailable).Dur("outage_ms", outage).Send()
 		},
 		OnOutageEnd: func(from, to time.Time) {
-			if to.Sub(from) > shortOutage {
-				in.startOutageGrace(missingGrace-time.Since(to), storeOutage{from, to}, "")
-			}
+			in.startOutageGrace(missingGrace-time.Since(to), storeOutage{from, to}, "")
 		},
 		OnCompacted: func(at mirror.Position) {
 			in.counters.storeCompacted.Add(1)
--- a/internal/serve/template_test.go
+++ b/internal/serve/template_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	values := map[string]string{"node": `"i1"`, "region": `"a"`, "zone": `"a1"`, "zones": `{"a1":"a"}`, "ip": "10.0.0.1", "internalPortRange.0": "7000",
-		"listenAddrs.frontend": `"10.0.0.1:80"`, "listenAddrs.ready": `"10.0.0.1:81"`, "listenAddrs.directory": `"10.0.0.1:82"`, "provider.address": `"10.0.0.2:90"`,
+		"listenAddrs.frontend": `"10.0.0.1:80"`, "listenAddrs.ready": `"10.0.0.1:81"`, "listenAddrs.directory": `"10.0.0.1:82"`, "provider.address": `"10.0.0.2:90"`, "heartbeat": `"1500ms"`,
 		"bounds.grace": `"10000ms"`, "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "120", "bounds.budgetWindow": `"10000ms"`, "bounds.maxShift": "0.15",
 		"seedNodes": "[]", "limits.memoryMb": "206", "limits.maxFds": "2870", "limits.cpuShare": "0.5", "limits.bandwidthMbps": "10"}
 	for _, strict := range []string{"", "false", "true"} {
@@ -43,10 +43,14 @@
 			values["bounds.revoke"], revoke = `"5000ms"`, 5*time.Second
 		}
 		s, ignored, err := Parse([]byte(fillIn(string(template), values)))
-		if err != nil || len(ignored) > 0 || s.Bounds.StrictRevoke != (strict == "true") || s.Bounds.Revoke != Duration(revoke) {
+		if err != nil || len(ignored) > 0 || s.Store.Heartbeat != Duration(1500*time.Millisecond) || s.Bounds.StrictRevoke != (strict == "true") || s.Bounds.Revoke != Duration(revoke) {
 			t.Errorf("strictRevoke %q: %+v, ignored %v, error %v", strict, s.Bounds, ignored, err)
 		}
 	}
+	delete(values, "heartbeat")
+	if s, _, err := Parse([]byte(fillIn(string(template), values))); err != nil || s.Store.Heartbeat != 0 {
+		t.Errorf("without a heartbeat: %s, error %v", time.Duration(s.Store.Heartbeat), err)
+	}
 	delete(values, "bounds.revoke")
 	if _, _, err := Parse([]byte(fillIn(string(template), values))); err == nil || !strings.Contains(fmt.Sprint(err), "bounds.revoke") {
 		t.Errorf("strict revocation without a time is accepted: %v", err)
