serve: drop the connections to an instance that is silent or has restarted

Cause: connections to a machine without power stay open. Once it is back and others see its new position, the next calls go over these connections, wait for retransmissions and are reset, one after the other, and each failure puts the instance behind all other sources for 3 s.

Change: connections are closed when their instance falls silent, and when a new process of it is seen. Both are known before the first call.

--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -54,6 +54,7 @@
 	}
 	in.applyMemberChanges(changes)
 	if newProcess {
+		in.dropConnections(p.ID)
 		in.sendRateLimitsTo(p)
 		in.sendDeparturesTo(p)
 	}
@@ -134,6 +135,12 @@
 	return fleet.Presence{Position: own, Desired: in.desiredVersion()}.Behind(at, version)
 }
 
+// dropConnections closes the connections to an instance that has fallen silent or
+// started again. If its machine has lost power or was cut off, nothing else closes them:
+// the next calls would wait for retransmissions, or for the resets of a process that
+// does not know the connections, and the instance would count as a failed source.
+func (in *Instance) dropConnections(id model.InstanceID) { in.peers.Remove(id) }
+
 // applyMemberChanges logs changes of other instances and updates the live
 // instances in the routing table.
 func (in *Instance) applyMemberChanges(changes []fleet.Change) {
@@ -146,6 +153,7 @@
 		case "silent":
 			event = events.InstanceSilent
 			in.table.SetPeerLoads(c.ID, nil)
+			in.dropConnections(c.ID)
 		case "leaving":
 			event = events.InstanceLeaving
 		}
