serve, mirror: entries may lapse in an outage of more than a heartbeat

An outage of 1.5 heartbeats can lose two reports of an endpoint; if the third is a little late, the entry lapses. Besides, the length of an outage was measured short: a change that came from another process moved its begin to the present.

Change: the limit is one heartbeat, in which one report is lost at most. An outage begins no earlier than the last response to another process, instead of the moment at which a change came from there.

--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -129,18 +129,27 @@
 }
 
 // noteOthers ends an outage if the source has responded to another process since the
-// last failed call. An outage begins no earlier than the last change that the copy got
-// from another process. noteOthers returns the length of an outage that it ended.
+// last failed call, and returns its length. An outage begins no earlier than the last
+// response to another process before that call. If the copy got a change from another
+// process that does not tell when the source responded, it was just now.
 func (f *Follower) noteOthers() time.Duration {
 	if f.outage.from.IsZero() {
 		return 0
 	}
-	now := time.Now()
-	if at := f.Copy.lastKnownResponse(); at.After(f.outage.failedAt) {
-		return f.endOutage(at)
+	last := f.Copy.lastKnownResponse()
+	if last.After(f.outage.failedAt) {
+		return f.endOutage(last)
+	}
+	told := last.After(f.outage.from)
+	if told {
+		f.outage.from = last
 	}
+	now := time.Now()
 	if at, _ := f.Copy.Position(now); f.outage.at.Before(at) {
-		f.outage.from, f.outage.at = now, at
+		f.outage.at = at
+		if !told {
+			f.outage.from = now
+		}
 	}
 	return 0
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -304,7 +304,8 @@
 }
 
 // Guards against an outage that goes on after the source has responded to another
-// process, and against one that ends with a response from before it.
+// process, and against one that ends, or does not begin, with a response to another
+// process before the failed call.
 func TestOutageEndsWithAResponseToAnotherProcess(t *testing.T) {
 	now := time.Now()
 	f, ended := outageFollower(now)
@@ -317,8 +318,8 @@
 	f.Copy.Confirm(Position{Revision: 1}, now.Add(3*time.Second))
 	f.noteOthers()
 	f.noteOthers()
-	if len(*ended) != 1 || (*ended)[0] != 3*time.Second {
-		t.Errorf("outages of %v, want one of 3s", *ended)
+	if len(*ended) != 1 || (*ended)[0] != 2*time.Second {
+		t.Errorf("outages of %v, want one of 2s", *ended)
 	}
 }
 
--- a/internal/serve/outage.go
+++ b/internal/serve/outage.go
@@ -40,16 +40,16 @@
 	// down, as far as other instances report them.
 	maxResponseGap = 900 * time.Millisecond
 	// harmlessHeartbeats is the length of an outage in which no entry lapses, in
-	// heartbeats of endpoints. An entry lapses after three without a report. The last
-	// report may be one heartbeat old when an outage begins; half of one is for reports
-	// that are late.
-	harmlessHeartbeats = 1.5
+	// heartbeats of endpoints. It loses one report of each endpoint at most. An entry
+	// lapses after three heartbeats without a report, so two lost reports and a late
+	// third one are enough.
+	harmlessHeartbeats = 1
 )
 
 // maxHarmlessSilence returns the longest time without a known response of the store to
 // any instance after which no entry can have lapsed.
 func (in *Instance) maxHarmlessSilence() time.Duration {
-	return max(maxResponseGap, time.Duration(harmlessHeartbeats*float64(in.settings.Store.Heartbeat)))
+	return max(maxResponseGap, harmlessHeartbeats*time.Duration(in.settings.Store.Heartbeat))
 }
 
 // harmless reports whether no entry can have lapsed in an outage.
--- a/internal/serve/outage_test.go
+++ b/internal/serve/outage_test.go
@@ -64,8 +64,9 @@
 		silence time.Duration
 		gone    bool
 	}{
-		{1500 * time.Millisecond, true},
-		// A live endpoint reports each heartbeat, and its entry outlives three.
+		{1400 * time.Millisecond, true},
+		// Two reports of a live endpoint may be lost, and the third may come late.
+		{1600 * time.Millisecond, false},
 		{2 * heartbeat, false},
 		{3 * heartbeat, false},
 	} {
