serve, forward: refuse requests while known changes are missing

What callers saw: nothing yet.

Cause: messages told it all the while that the copies of others were more recent, and it could not fetch their changes, but only an instance without any desired state refused requests.

Change: the copy remembers since when it has been known that another one is more recent. After 1.8 s requests are refused at once as not run (reason behind), before an attempt and again immediately before it is sent, and the instance is not ready. In an outage of the store no copy is more recent, so instances go on as before.

mirror: noteOthers is noteResponsesToOthers, which says what it notes.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -197,6 +197,9 @@
 	if refusal := ex.refuseUnfinishable(ex.req, now); refusal != nil {
 		return refusal
 	}
+	if refusal := ex.refuseBehind(); refusal != nil {
+		return refusal
+	}
 	choice := ex.cfg.Table.Choose(now, steering.Request{
 		Service: ex.service, Object: ex.req.Object, Rank: ex.rank(), RankOfTenant: ex.req.Tenant != nil,
 		UntilDeadline: ex.req.Deadline.Sub(now), UntilSoftDeadline: ex.req.SoftDeadline.Sub(now), TargetLatency: ex.req.Route.TargetLatency,
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -32,6 +32,9 @@
 	Rand *rand.Rand
 	// State returns the desired state in force, or nil.
 	State func() *desired.State
+	// Behind reports whether this instance knows that it lacks changes of the desired
+	// state or of endpoints, so that requests must not be sent. It may be nil.
+	Behind func() bool
 	// Proven reports whether this instance knows that the desired state of a version
 	// is recent enough to judge API keys. If it is nil, every state is.
 	Proven func(desired.Version) bool
@@ -79,6 +82,19 @@
 	sampleSpeed events.Limiter
 }
 
+// reasonBehind is the reason for refusing requests while this instance lacks changes.
+const reasonBehind = "behind"
+
+func (e *Engine) behind() bool { return e.cfg.Behind != nil && e.cfg.Behind() }
+
+// refuseBehind returns a refusal if this instance knows that it lacks changes.
+func (e *Engine) refuseBehind() *Answer {
+	if e.behind() {
+		return refused(reasonBehind, otherInstanceRetryAfter)
+	}
+	return nil
+}
+
 // NewEngine returns an engine.
 func NewEngine(cfg EngineConfig) *Engine {
 	return &Engine{cfg: cfg, split: newSplitter(cfg.Rand), timeouts: newCallerTimeouts(), queues: newWaitQueues(), metrics: newMetrics(), times: newRequestTimes(),
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -198,6 +198,9 @@
 	if refusal := h.refuseUnfinishable(req, req.Arrived); refusal != nil {
 		return refusal
 	}
+	if refusal := h.refuseBehind(); refusal != nil {
+		return refusal
+	}
 	if a := h.admitTenant(r.Context(), req); a != nil {
 		return a
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -77,6 +77,8 @@
 	log       *logtest.Buffer
 	table     *steering.Table
 	state     atomic.Pointer[desired.State]
+	// behind makes the server refuse requests because it lacks changes.
+	behind atomic.Bool
 }
 
 // newTestServer starts a handler with four endpoints and two routes: requests
@@ -98,7 +100,7 @@
 		[]desired.Service{{Name: "s", MaxConnections: 100}}, desired.Limits{MaxBodyBytes: 1000}))
 	s.Handler = forward.New(forward.Config{Protocol: testProtocol{}, EngineConfig: forward.EngineConfig{Log: events.New(s.log, zerolog.DebugLevel, "i1"), Table: s.table,
 		Transport: s.transport, Budget: forward.NewBudget(forward.BudgetConfig{Ratio: 0.2, Slack: 120, Window: 10 * time.Second}),
-		Rand: rand.New(rand.NewPCG(3, 4)), State: s.state.Load, Instances: func() int { return 1 },
+		Rand: rand.New(rand.NewPCG(3, 4)), State: s.state.Load, Behind: s.behind.Load, Instances: func() int { return 1 },
 		OnUnreachable: func(steering.Endpoint, error) {}}})
 	s.serve(nil)
 	t.Cleanup(func() { s.server.Close() })
--- a/internal/forward/tenants.go
+++ b/internal/forward/tenants.go
@@ -89,7 +89,7 @@
 	decided := ex.decision
 	return func() bool {
 		now := time.Now()
-		if !ex.cfg.Table.Permits(p, now) || !ex.mayFinish(ex.req, now) {
+		if !ex.cfg.Table.Permits(p, now) || !ex.mayFinish(ex.req, now) || ex.behind() {
 			return false
 		}
 		d := ex.decide(ex.req)
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -92,7 +92,7 @@
 	for ctx.Err() == nil {
 		if f.Copy.Loaded() && !f.Active() {
 			f.Copy.setWatching(false)
-			f.noteOthers()
+			f.noteResponsesToOthers()
 			f.listed = true // The others complete the copy.
 			sleep(ctx, inactivePollInterval)
 			continue
@@ -112,7 +112,7 @@
 			f.OnUnavailable(err)
 		}
 		sleep(ctx, pause)
-		f.noteOthers()
+		f.noteResponsesToOthers()
 		pause = min(2*pause, f.RetryMax)
 	}
 }
@@ -128,11 +128,11 @@
 	f.outage.failedAt = now
 }
 
-// noteOthers ends an outage if the source has responded to another process since the
+// noteResponsesToOthers ends an outage if the source has responded to another process since the
 // last failed call, and returns its length. An outage begins no earlier than the last
 // response to another process before that call. If the copy got a change from another
 // process that does not tell when the source responded, it was just now.
-func (f *Follower) noteOthers() time.Duration {
+func (f *Follower) noteResponsesToOthers() time.Duration {
 	if f.outage.from.IsZero() {
 		return 0
 	}
@@ -270,7 +270,7 @@
 // sourceResponded records a response of the source, and the end of an outage if
 // there was one.
 func (f *Follower) sourceResponded() {
-	outage := f.noteOthers()
+	outage := f.noteResponsesToOthers()
 	f.Copy.recordResponse()
 	outage = max(outage, f.endOutage(time.Now()))
 	if f.lost {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -76,7 +76,10 @@
 	// confirmedAt is the last time at which the copy is known to have held every
 	// change of the source.
 	confirmedAt time.Time
-	notify      func(Batch)
+	// newer is the time at which the copy of another process held every change, if
+	// this one is not known to have held them since. It was heard of at newerHeardAt.
+	newer, newerHeardAt time.Time
+	notify              func(Batch)
 	// log holds all changes of the era after the revision logFrom.
 	log     []Event
 	logFrom Revision
@@ -121,6 +124,28 @@
 	return now.Sub(c.confirmedAt)
 }
 
+// HeardOf records that the copy of another process held every change of the source at a
+// time.
+func (c *Copy) HeardOf(when, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.confirmedAt.Before(c.newer) && when.After(c.confirmedAt) {
+		c.newer, c.newerHeardAt = when, now
+	}
+}
+
+// Behind returns for how long this process has known of a copy that held every change
+// more recently than its own is known to. It is 0 if it knows of none, as in an outage
+// of the source.
+func (c *Copy) Behind(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.confirmedAt.Before(c.newer) {
+		return 0
+	}
+	return now.Sub(c.newerHeardAt)
+}
+
 // Loaded reports whether the copy has ever been filled.
 func (c *Copy) Loaded() bool {
 	c.mu.Lock()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -311,18 +311,47 @@
 	f, ended := outageFollower(now)
 	f.callFailed(now.Add(2 * time.Second))
 	f.Copy.Confirm(Position{Revision: 1}, now.Add(time.Second))
-	f.noteOthers()
+	f.noteResponsesToOthers()
 	if len(*ended) > 0 {
 		t.Errorf("a response from before the failed call ended the outage")
 	}
 	f.Copy.Confirm(Position{Revision: 1}, now.Add(3*time.Second))
-	f.noteOthers()
-	f.noteOthers()
+	f.noteResponsesToOthers()
+	f.noteResponsesToOthers()
 	if len(*ended) != 1 || (*ended)[0] != 2*time.Second {
 		t.Errorf("outages of %v, want one of 2s", *ended)
 	}
 }
 
+// Guards against a process that does not notice that its copy stays behind those of
+// others, and against one that takes an outage, or the usual delay, for that.
+func TestBehindOtherCopies(t *testing.T) {
+	now := time.Now()
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	c := New(func(Batch) {})
+	c.Replace("i1", nil, Position{Revision: 1})
+	c.Confirm(Position{Revision: 1}, at(0))
+	check := func(ms int, want time.Duration) {
+		t.Helper()
+		if d := c.Behind(at(ms)); d != want {
+			t.Errorf("after %d ms: behind for %s, want %s", ms, d, want)
+		}
+	}
+	c.HeardOf(at(-100), at(50))
+	check(9000, 0) // The source responds to none.
+	c.HeardOf(at(300), at(400))
+	c.HeardOf(at(800), at(900))
+	check(1400, time.Second)
+	c.Confirm(Position{Revision: 1}, at(500))
+	check(1400, 0) // It has caught up with the copy of which it heard first.
+	c.HeardOf(at(1300), at(1400))
+	check(1500, 100*time.Millisecond)
+	c.Confirm(Position{Revision: 2}, at(1500))
+	check(1500, 100*time.Millisecond) // The copy has not reached that position.
+	c.Confirm(Position{Revision: 1}, at(1500))
+	check(1600, 0)
+}
+
 // Guards against calls of the store by an instance that is not to watch it,
 // except for the first listing.
 func TestInactiveMakesNoCalls(t *testing.T) {
--- a/internal/serve/members_internal_test.go
+++ b/internal/serve/members_internal_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/rs/zerolog"
 
+	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/fleet"
+	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/peer"
 )
 
@@ -62,6 +64,39 @@
 // longSilence is beyond the time after which an instance counts as silent.
 const longSilence = 5 * time.Second
 
+// Guards against an instance that goes on steering, and is named by lookups, although
+// messages have shown for long that it lacks changes that others have.
+func TestInstanceThatLacksChangesIsNotReady(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// age is that of the other instance's copy, after how long ago it was heard of.
+		age, after time.Duration
+		behind     bool
+	}{
+		{"another copy is more recent", 100 * time.Millisecond, maxBehind + 300*time.Millisecond, true},
+		{"it has just been heard of", 100 * time.Millisecond, 0, false},
+		{"no copy is more recent", time.Minute, maxBehind + 300*time.Millisecond, false},
+	} {
+		in := New(Settings{Instance: "i0", Region: "r", Domain: "d"}, events.New(io.Discard, zerolog.Disabled, "i0"))
+		in.socket, _ = fleet.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+		in.state.Store(&desired.State{})
+		in.crashes.mayServe.Store(true)
+		in.copy.Replace("i1", nil, mirror.Position{Revision: 1})
+		in.copy.Confirm(mirror.Position{Revision: 1}, time.Now().Add(-10*time.Second))
+		in.handleMessage(fleet.Message{Full: true, Presence: fleet.Presence{ID: "i1", Incarnation: 1, Region: "r", Domain: "d",
+			Position: mirror.Position{Revision: 2}, CopyAge: test.age}})
+		time.Sleep(test.after)
+		if in.behindOthers() != test.behind || in.ready() == test.behind {
+			t.Errorf("%s: behind %t, ready %t", test.name, in.behindOthers(), in.ready())
+		}
+		in.copy.Confirm(mirror.Position{Revision: 1}, time.Now())
+		if in.behindOthers() || !in.ready() {
+			t.Errorf("%s: not ready after the changes have come: %s", test.name, in.notReady())
+		}
+		_ = in.socket.Close()
+	}
+}
+
 func (in *Instance) callProof(t *testing.T, to fleet.Presence) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -134,7 +134,7 @@
 	in.crashes = newCrashDetector(in)
 	in.quotas = newQuotas(in)
 	in.handler = forward.New(forward.Config{Protocol: platform.CallerHeaders{}, Challenge: platform.KeyChallenge, EngineConfig: forward.EngineConfig{Log: log, Table: in.table,
-		Transport: in.client, Budget: in.budget, Rand: newRand(), State: in.servedState, Proven: in.proven,
+		Transport: in.client, Budget: in.budget, Rand: newRand(), State: in.servedState, Behind: in.behindOthers, Proven: in.proven,
 		Instances: in.instanceCount, OnUnreachable: in.endpointDown, OnRateLimit: in.recordRateLimit, OnLeaving: in.endpointLeaving, Quarantine: in.crashes, Quota: in.quotas}})
 	in.fetchers = in.newFetchers()
 	in.peers = peer.NewPool(in.resolve, peer.PoolOptions{})
@@ -242,6 +242,17 @@
 // longer than all instances of a simultaneous start take to be up.
 const settledAfter = 6 * time.Second
 
+// maxBehind is how long an instance steers by a copy of the store that it knows to be
+// older than those of others. Together with the time after which it hears of these, it is
+// below that within which a change has to be in force.
+const maxBehind = 1800 * time.Millisecond
+
+// behindOthers reports whether this instance has known for too long that others have a
+// more recent copy of the store, as on a machine whose link is saturated. Its endpoints
+// may have left, so callers have to use other instances. In an outage of the store no
+// copy is more recent.
+func (in *Instance) behindOthers() bool { return in.copy.Behind(time.Now()) > maxBehind }
+
 // ready reports whether lookups may name this instance. It logs each change of
 // the result.
 func (in *Instance) ready() bool {
@@ -261,6 +272,8 @@
 		return "no desired state"
 	case in.awaitsFirstProof():
 		return "authorization lease not held yet"
+	case in.behindOthers():
+		return "changes that other instances have are missing"
 	case !in.crashes.mayServe.Load():
 		return "no crash reports of other instances"
 	case in.storeLost.Load() && in.members.Isolated(time.Now()):
