--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -243,8 +243,7 @@
 const settledAfter = 6 * time.Second
 
 // maxBehind is how long an instance steers by a copy of the store that it knows to be
-// older than those of others. Together with the time after which it hears of these, it is
-// below that within which a change has to be in force.
+// older than those of others.
 const maxBehind = 1800 * time.Millisecond
 
 // behindOthers reports whether this instance has known for too long that others have a
