--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -10,6 +10,7 @@
 func main() {
 	cases := map[string]func(string, bool) int{
 		"lost-state": lostState,
+		"storms":     storms,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig-3 CASE RECORD")
--- a/review/rig-3/rig.go
+++ b/review/rig-3/rig.go
@@ -83,6 +83,8 @@
 	mu sync.Mutex
 	// net is the third byte of the loopback addresses.
 	net int
+	// memory is the limit of a machine in MB.
+	memory int
 	// version is that of the newest desired state, looks counts requests that look.
 	version, looks int
 }
@@ -90,7 +92,7 @@
 func newRig(rec *record, net int, zones map[string]string) *rig {
 	dir, err := os.MkdirTemp("", "review-3-")
 	check(err)
-	g := &rig{store: newStore(), rec: rec, dir: dir, zones: zones, net: net}
+	g := &rig{store: newStore(), rec: rec, dir: dir, zones: zones, net: net, memory: 206}
 	rigsMu.Lock()
 	rigs = append(rigs, g)
 	rigsMu.Unlock()
@@ -154,7 +156,7 @@
 		"listen": in.addrs,
 		"store":  map[string]any{"address": in.storeAddr, "heartbeat": "1500ms"},
 		"bounds": map[string]any{"grace": "6s", "drain": "2500ms", "retry_ratio": 0.2, "retry_slack": 120, "retry_window": "10s", "max_shift": 0.15},
-		"seeds":  g.seeds, "memory_mb": 206, "max_files": 2870,
+		"seeds":  g.seeds, "memory_mb": g.memory, "max_files": 2870,
 		"machine": map[string]any{"cpu": 0.224, "link_mbps": 700}, "log": map[string]any{"level": "info"},
 	}
 	b, err := json.Marshal(settings)
