--- a/review/rig-3/rig.go
+++ b/review/rig-3/rig.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -30,7 +29,6 @@
 	start time.Time
 	// runs has the runs of each request: the services.
 	runs map[string][]string
-	seen atomic.Int64
 }
 
 func newRecord(path string) *record {
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -102,12 +102,6 @@
 	return s.put(key, b)
 }
 
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.drop(key)
-}
-
 func (s *store) write(key string, value []byte, leaseID int64) int64 {
 	s.revision++
 	created := s.revision
