serve, mirror: tell whether a desired state is known and missing

Instances send each other the changes of the store without the desired state, which they fetch apart. The position of a copy therefore covers states that the instance has not got, and neither a log line nor a metric of it could tell "the position covers the state's revision" from "the state is here".

The desired state is now an out-of-band key of the copy (mirror.NewOutOfBand): its value is neither an item nor an entry of the log of changes. Of its changes a copy records the position (OutOfBandAt), which replies with changes carry beside their own position (Changes.DesiredAt), so that no copy passes a change without knowing of it. The position up to which an instance has considered states is kept apart (encodedStates.held); replies with a state tell it as well, and pass on a state that the sender has rejected. While the former is later, a state is missing: events 824 and 825 and the metric missing_state show it.

What a watch or a listing returns of an out-of-band key is passed on even if the copy is past it, so that adoptSkipped, which did that for watches only, is gone.

TestCopiesKnowOfOutOfBandChanges checks the invariant over random orders of changes, calls, delayed responses, lost and new instances, and restores.

A reply of a program before this commit has no DesiredAt: the receiver then knows as little as before.

--- a/internal/events/catalogue_serve.go
+++ b/internal/events/catalogue_serve.go
@@ -47,6 +47,12 @@
 	OlderStateIgnored = Event{823, "older desired state ignored", zerolog.WarnLevel,
 		"The store or another instance returned a desired state that is older than the one in force.",
 		"None."}
+	DesiredStateMissing = Event{824, "desired state missing", zerolog.WarnLevel,
+		"The copy of the store covers a desired state that this instance has not got, for longer than it usually takes to fetch one. The fields era and revision are the position of its last change, held is the position up to which this instance has considered desired states, and in_force the version in force.",
+		"None for single cases: the instance asks others and then the store. If it lasts, check that the store and the other instances can be reached."}
+	DesiredStateFound = Event{825, "missing desired state obtained", zerolog.InfoLevel,
+		"The instance has obtained the desired state of event 824. The field in_force is the version in force, missing_ms the time for which the state was missing.",
+		"None."}
 	EndpointPaceChanged = Event{830, "slow start of endpoint changed", zerolog.InfoLevel,
 		"An endpoint that has started or recovered gets few requests at first (phase starting), or gets them by cost alone again (phase steady). The field reason says why: added, restarted, cold, recovered, unreachable, ejected or slow; grown at the end.",
 		"None for single endpoints. If one starts again and again, check the endpoint."}
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -77,7 +77,7 @@
 	Listed(at Position, started time.Duration)
 	// Watched is called after a watch that returned every change after a position up
 	// to another one. The copy may have had some of them from another process.
-	Watched(after, at Position, events []Event, started time.Duration)
+	Watched(after, at Position, started time.Duration)
 	// Verified is called after a comparison of positions that found no change
 	// missing.
 	Verified(at Position, started time.Duration)
@@ -220,7 +220,7 @@
 	if len(events) > 0 {
 		f.Copy.Confirm(at, started)
 		if f.Observer != nil {
-			f.Observer.Watched(after, at, events, startedBoot)
+			f.Observer.Watched(after, at, startedBoot)
 		}
 		sleep(ctx, f.BatchDelay)
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -84,9 +84,14 @@
 	newer   time.Time
 	newerAt Position
 	notify  func(Batch)
-	// log holds all changes of the era after the revision logFrom.
+	// log holds all changes of the era after the revision logFrom, but those of
+	// out-of-band keys.
 	log     []Event
 	logFrom Revision
+	// outOfBand selects the out-of-band keys. outOfBandAt is the position of their last
+	// change that at covers, or of a later one.
+	outOfBand   func(key string) bool
+	outOfBandAt Position
 }
 
 // maxLogLength bounds the log of changes that other instances fetch. It covers
@@ -96,7 +101,16 @@
 // New returns an empty copy. notify is called with the changes in order. It may
 // read the copy but not change it.
 func New(notify func(Batch)) *Copy {
-	return &Copy{items: map[string]Item{}, notify: notify}
+	return NewOutOfBand(func(string) bool { return false }, notify)
+}
+
+// NewOutOfBand returns an empty copy that does not hold the values of some keys: these are
+// large, and instances send them to each other out of band, apart from other changes.
+// notify gets the changes of such keys that the source returns to this process, also those
+// that the copy has passed already. Of all others the copy records the position
+// (OutOfBandAt), so that whoever advances past a change knows that it exists.
+func NewOutOfBand(outOfBand func(key string) bool, notify func(Batch)) *Copy {
+	return &Copy{items: map[string]Item{}, notify: notify, outOfBand: outOfBand}
 }
 
 // Position returns the position of the copy and how long ago the source last
@@ -110,6 +124,47 @@
 	return c.at, now.Sub(c.respondedAt)
 }
 
+// OutOfBandAt returns the position of the last change of an out-of-band key that is known
+// to exist, or the zero position. It is not before any such change that the position of
+// the copy covers.
+func (c *Copy) OutOfBandAt() Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outOfBandAt
+}
+
+// AnnounceOutOfBand records that an out-of-band key has changed at a position. It has to be
+// called before changes of another process are applied, with what that process knows.
+func (c *Copy) AnnounceOutOfBand(at Position) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.announceOutOfBand(at)
+}
+
+// announceOutOfBand is AnnounceOutOfBand. The lock is held.
+func (c *Copy) announceOutOfBand(at Position) {
+	if c.outOfBandAt.Before(at) {
+		c.outOfBandAt = at
+	}
+}
+
+// takeOutOfBand records the changes of out-of-band keys and returns them apart from the
+// others. The lock is held.
+func (c *Copy) takeOutOfBand(era model.Era, events []Event) (outOfBand, others []Event) {
+	if !slices.ContainsFunc(events, func(e Event) bool { return c.outOfBand(e.Key) }) {
+		return nil, events
+	}
+	for _, e := range events {
+		if !c.outOfBand(e.Key) {
+			others = append(others, e)
+			continue
+		}
+		c.announceOutOfBand(Position{Era: era, Revision: e.Revision})
+		outOfBand = append(outOfBand, e)
+	}
+	return outOfBand, others
+}
+
 // Confirm records that the source had no change after a position at a time. It has
 // no effect if the copy has not reached the position.
 func (c *Copy) Confirm(at Position, when time.Time) {
@@ -198,22 +253,33 @@
 }
 
 // Replace replaces the content by a full listing of the store at a position,
-// unless that is before the copy's. It reports whether it did.
+// unless that is before the copy's. It reports whether it did. The items of out-of-band
+// keys count in any case, unless the listing is of an earlier era.
 func (c *Copy) Replace(from model.InstanceID, items []Item, at Position) bool {
 	c.order.Lock()
 	defer c.order.Unlock()
 	c.mu.Lock()
 	before := c.at
+	b := Batch{From: from, Era: at.Era, ConfirmedAt: c.confirmedAt, Restored: before != Position{} && at.Era != before.Era}
+	if at.Era < before.Era {
+		c.mu.Unlock()
+		return false
+	}
+	outOfBand, items := c.takeOutOfBandItems(at.Era, items)
 	if at.Before(before) {
+		b.Events, b.Restored = outOfBand, false
 		c.mu.Unlock()
+		if len(b.Events) > 0 {
+			c.notify(b)
+		}
 		return false
 	}
-	b := Batch{From: from, Era: at.Era, ConfirmedAt: c.confirmedAt, Restored: before != Position{} && at.Era != before.Era}
 	if before == (Position{}) || b.Restored {
 		b.Events = c.replaceAll(items, at.Revision)
 	} else {
 		b.Events = c.replaceItems(items, at.Revision)
 	}
+	b.Events = append(outOfBand, b.Events...)
 	// A listing does not show keys that were written and deleted again since the
 	// last position, so other copies between the two need all items.
 	c.log, c.logFrom = nil, at.Revision
@@ -226,6 +292,19 @@
 	return true
 }
 
+// takeOutOfBandItems is takeOutOfBand for a listing. The lock is held.
+func (c *Copy) takeOutOfBandItems(era model.Era, items []Item) (outOfBand []Event, others []Item) {
+	for _, it := range items {
+		if !c.outOfBand(it.Key) {
+			others = append(others, it)
+			continue
+		}
+		c.announceOutOfBand(Position{Era: era, Revision: it.Revision})
+		outOfBand = append(outOfBand, Event{Item: it})
+	}
+	return outOfBand, others
+}
+
 // replaceAll replaces the items by those of a listing in another era and returns
 // the changes. The lock is held.
 func (c *Copy) replaceAll(items []Item, at Revision) []Event {
@@ -310,7 +389,7 @@
 }
 
 // Apply applies changes in order and advances the copy to the position at.
-// Changes that the copy already contains are skipped. It reports false, without
+// Changes that the copy already contains are skipped, unless their keys are out of band. It reports false, without
 // effect, if the changes are of another era than the copy.
 func (c *Copy) Apply(from model.InstanceID, events []Event, at Position) bool {
 	c.order.Lock()
@@ -321,12 +400,13 @@
 		return false
 	}
 	confirmedAt := c.confirmedAt
-	applied := c.applyItems(events)
+	outOfBand, others := c.takeOutOfBand(at.Era, events)
+	applied := c.applyItems(others)
 	c.appendLog(applied)
 	c.advance(Position{Era: at.Era, Revision: max(c.at.Revision, at.Revision)})
 	c.mu.Unlock()
-	if len(applied) > 0 {
-		c.notify(Batch{Events: applied, From: from, Era: at.Era, ConfirmedAt: confirmedAt})
+	if changes := append(outOfBand, applied...); len(changes) > 0 {
+		c.notify(Batch{Events: changes, From: from, Era: at.Era, ConfirmedAt: confirmedAt})
 	}
 	return true
 }
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -17,6 +17,8 @@
 const (
 	syncKeys   = maxLogLength + 200
 	syncCopies = 4
+	// syncOutOfBand is the key that is out of band.
+	syncOutOfBand = "large"
 )
 
 // replica is a copy together with the items that its consumer has been told.
@@ -27,7 +29,7 @@
 
 func newReplica() *replica {
 	r := &replica{told: map[string]Item{}}
-	r.Copy = New(func(b Batch) {
+	r.Copy = NewOutOfBand(func(key string) bool { return key == syncOutOfBand }, func(b Batch) {
 		for _, e := range b.Events {
 			if e.Deleted {
 				delete(r.told, e.Key)
@@ -135,11 +137,13 @@
 func (m *syncModel) fetch(r, from *replica) func() {
 	before, _ := r.Position(time.Now())
 	events, at, covered := from.Since(before)
+	outOfBandAt := from.OutOfBandAt()
 	var items []Item
 	if !covered {
 		items, at = from.Snapshot()
 	}
 	return func() {
+		r.AnnounceOutOfBand(outOfBandAt)
 		switch {
 		case !before.Before(at):
 		case covered:
@@ -156,6 +160,12 @@
 	case "write":
 		m.write()
 		return
+	case "write out of band":
+		m.put(syncOutOfBand, fmt.Sprint(m.at))
+		return
+	case "replace":
+		m.replicas[rapid.IntRange(0, len(m.replicas)-1).Draw(m.t, "lost")] = newReplica()
+		return
 	case "save":
 		m.save()
 		return
@@ -183,6 +193,44 @@
 	}
 }
 
+// checkOutOfBand checks that no copy has passed a change of the out-of-band key without
+// knowing of it.
+func (m *syncModel) checkOutOfBand() {
+	for n, r := range m.replicas {
+		at, _ := r.Position(time.Now())
+		if at.Era != m.era {
+			continue
+		}
+		changed := Position{Era: m.era}
+		for _, e := range m.history {
+			if e.Key == syncOutOfBand && e.Revision <= at.Revision {
+				changed.Revision = e.Revision
+			}
+		}
+		if known := r.OutOfBandAt(); changed.Revision > 0 && known.Before(changed) {
+			m.t.Fatalf("copy %d at %+v knows of an out-of-band change at %+v, and the last one was at %+v", n, at, known, changed)
+		}
+	}
+}
+
+// Guards against a change of an out-of-band key that a copy has passed without knowing of
+// it, so that nobody asks for its value: in random orders of changes, calls of the store
+// and of other instances, delayed responses, lost and new instances, and restores.
+func TestCopiesKnowOfOutOfBandChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := append([]string{"write out of band", "write out of band", "replace", "save", "restore"}, steps...)
+		m := &syncModel{source: newSource(), t: t, steps: all, era: 1}
+		m.save()
+		for range syncCopies {
+			m.replicas = append(m.replicas, newReplica())
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			m.step()
+			m.checkOutOfBand()
+		}
+	})
+}
+
 // steps are the steps of a model whose store is not restored.
 var steps = []string{"write", "write", "watch", "list", "fetch", "fetch", "respond", "respond"}
 
--- a/internal/serve/changes.go
+++ b/internal/serve/changes.go
@@ -34,7 +34,7 @@
 
 // Changes is the reply to ChangesArgs: changes of the store, or a full copy of it
 // if the change log does not reach back to the requested position. It lacks the
-// records of objects and the desired state.
+// records of objects, and of the desired state it has the position only.
 type Changes struct {
 	Events []mirror.Event
 	// Whole means that Packed holds a full copy and replaces Events.
@@ -45,6 +45,9 @@
 	At  mirror.Revision
 	Era model.Era
 	Age time.Duration
+	// DesiredAt is the position of the last change of the desired state that the sender
+	// knows of. It is zero if the sender does not tell.
+	DesiredAt mirror.Position
 	// Desired is the desired state in force, as the store encoded it, for a caller
 	// that has an older one and does not fetch it apart.
 	Desired []byte
@@ -72,7 +75,7 @@
 			return errors.Trace(err)
 		}
 	}
-	reply.At, reply.Era = at.Revision, at.Era
+	reply.At, reply.Era, reply.DesiredAt = at.Revision, at.Era, s.in.copy.OutOfBandAt()
 	reply.Events = withoutUnshared(reply.Events)
 	s.in.applyMu.Lock()
 	reply.Grace = time.Until(s.in.missingGraceUntil)
@@ -89,13 +92,13 @@
 	return nil
 }
 
+// isDesired reports whether a key is that of the desired state, which is out of band in
+// copies of the store because it is large.
+func isDesired(key string) bool { return platform.RecordOf(key).Desired }
+
 // unshared reports whether instances do not send the record of a key with the
-// changes: that of objects, which only a starting instance needs, and the desired
-// state, which is large.
-func unshared(key string) bool {
-	r := platform.RecordOf(key)
-	return r.Objects != "" || r.Desired
-}
+// changes: that of objects, which only a starting instance needs.
+func unshared(key string) bool { return platform.RecordOf(key).Objects != "" }
 
 // maxSharedValue bounds the values that instances send to each other, in bytes. Entries
 // of endpoints and instances have some hundred. Larger ones are of other writers and
@@ -176,6 +179,7 @@
 		in.startMissingGrace(c.Grace, graceUnknown, from)
 	}
 	in.counters.changesFetched.Add(1)
+	in.copy.AnnounceOutOfBand(c.DesiredAt)
 	if !c.Whole {
 		in.copy.Apply(from, c.Events, at)
 	} else {
--- a/internal/serve/desired.go
+++ b/internal/serve/desired.go
@@ -10,6 +10,7 @@
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/model"
+	"jujubestile.example/jujubestile/internal/store"
 	"jujubestile.example/jujubestile/platform"
 )
 
@@ -17,25 +18,32 @@
 // therefore fetch it apart from the changes of the store, so that these do not wait
 // for it, and as the difference to the one that they have.
 
-// DesiredArgs asks for the desired state in force if its version is above Have.
+// The position of a copy of the store therefore covers desired states that the instance
+// has not got yet. What the copy knows of their last change (mirror.Copy.OutOfBandAt) and
+// the position up to which this instance has considered them (encodedStates.held) are kept
+// apart: as long as the former is later, a desired state is missing, see missing_state.go.
+
+// DesiredArgs asks for the desired state in force if its version is above Have, and for
+// the rejected one if it is later than Held.
 type DesiredArgs struct {
 	Have desired.Version
+	Held mirror.Position
 }
 
-// DesiredReply is the reply to DesiredArgs. It is empty if there is no newer state.
+// DesiredReply is the reply to DesiredArgs. It has no state if there is no newer one.
 type DesiredReply struct {
 	State packedState
-	// At and Era are the position of the sender's copy of the store.
-	At  mirror.Revision
-	Era model.Era
+	// Held is the position up to which the sender has considered every desired state. It
+	// is zero if the sender does not tell.
+	Held mirror.Position
+	// Rejected is the desired state at Held, compressed, if the sender has rejected it.
+	Rejected []byte
 }
 
 // Desired is the RPC method that returns a newer desired state.
 func (s *State) Desired(args DesiredArgs, reply *DesiredReply) error {
-	at, _ := s.in.copy.Position(time.Now())
-	reply.At, reply.Era = at.Revision, at.Era
 	var err error
-	reply.State, err = s.in.states.pack(args.Have)
+	*reply, err = s.in.states.reply(args.Have, args.Held)
 	return errors.Trace(err)
 }
 
@@ -43,18 +51,18 @@
 // whether there was one.
 func (in *Instance) fetchDesired(ctx context.Context, from model.InstanceID) bool {
 	started := time.Now()
-	have := in.desiredVersion()
+	have, held := in.desiredVersion(), in.states.held()
 	var reply DesiredReply
-	err := in.peers.Call(ctx, from, stateService+".Desired", DesiredArgs{Have: have}, &reply)
-	if err == nil && reply.State.Version > have {
-		err = in.takeDesired(from, reply)
+	err := in.peers.Call(ctx, from, stateService+".Desired", DesiredArgs{Have: have, Held: held}, &reply)
+	if err == nil {
+		err = in.takeDesired(from, have, reply)
 	}
 	if err != nil {
 		in.fetchFailed(ctx, from, err)
 		return false
 	}
 	if reply.State.Version <= have {
-		return false
+		return held.Before(in.states.held())
 	}
 	in.counters.statesFetched.Add(1)
 	in.counters.stateBytesFetched.Add(int64(len(reply.State.Packed)))
@@ -63,15 +71,32 @@
 	return in.desiredVersion() > have
 }
 
-// takeDesired puts a fetched desired state in force.
-func (in *Instance) takeDesired(from model.InstanceID, reply DesiredReply) error {
-	encoded, err := in.states.unpack(reply.State)
-	if err != nil {
-		return errors.Trace(err)
+// takeDesired puts a fetched desired state in force, and records what the other instance
+// has considered, for which this one had a version in force.
+func (in *Instance) takeDesired(from model.InstanceID, have desired.Version, reply DesiredReply) error {
+	var encoded, rejected []byte
+	var err error
+	if reply.State.Version > have {
+		if encoded, err = in.states.unpack(reply.State); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if len(reply.Rejected) > 0 {
+		if rejected, err = decompress(reply.Rejected, nil); err != nil {
+			return errors.Trace(err)
+		}
 	}
 	in.applyMu.Lock()
 	defer in.applyMu.Unlock()
-	in.adopt(encoded, mirror.Position{Era: reply.Era, Revision: reply.At}, from)
+	if encoded != nil {
+		in.adopt(encoded, reply.Held, from)
+	}
+	switch {
+	case rejected != nil:
+		in.adopt(rejected, reply.Held, from)
+	case encoded == nil:
+		in.states.hold(reply.Held)
+	}
 	return nil
 }
 
@@ -83,34 +108,64 @@
 	return 0
 }
 
-// adoptChange puts a changed desired state in force if it is newer. applyMu is held.
-func (in *Instance) adoptChange(value []byte, at mirror.Position, from model.InstanceID) {
-	if from == "" {
-		in.desiredAt = at
+// adoptChange applies a change of the desired state that the store has returned, unless
+// this instance has considered it before. applyMu is held.
+func (in *Instance) adoptChange(c mirror.Event, era model.Era) {
+	at := mirror.Position{Era: era, Revision: c.Revision}
+	switch {
+	case !in.states.held().Before(at):
+	case c.Deleted:
+		in.states.hold(at) // The state in force stays.
+	default:
+		in.adopt(c.Value, at, "")
 	}
-	in.adopt(value, at, from)
 }
 
-// adoptSkipped is adoptChange for a desired state that the store has returned but that
-// the copy may have skipped: it takes no change at or before the position of the last
-// ones that it had from another instance, which do not contain desired states.
-func (in *Instance) adoptSkipped(value []byte, at mirror.Position) {
+// readDesired reads the desired state from the store and puts it in force if it is newer.
+// It returns the position of its last change, without a revision if there is no state.
+func (in *Instance) readDesired(ctx context.Context) (mirror.Position, error) {
+	known := in.copy.OutOfBandAt()
+	value, changed, err := in.store.DesiredState(ctx)
+	if errors.Is(err, store.ErrNotFound) {
+		in.states.hold(known)
+		return changed, nil
+	}
+	if err != nil {
+		return mirror.Position{}, errors.Trace(err)
+	}
+	at := changed
+	if at.Before(known) {
+		at = known // The store contains all that was known before the call.
+	}
 	in.applyMu.Lock()
 	defer in.applyMu.Unlock()
-	if in.desiredAt != at {
-		in.adoptChange(value, at, "")
-	}
+	in.adopt(value, at, "")
+	return changed, nil
 }
 
 // adopt puts an encoded desired state in force if it is newer than the current
-// one. applyMu is held.
+// one. at is the position up to which it is the newest one, or zero if that is not known.
+// applyMu is held.
 func (in *Instance) adopt(encoded []byte, at mirror.Position, from model.InstanceID) {
 	next, err := in.decoder.Decode(encoded)
-	if err != nil {
+	outdated := at.Before(in.states.held())
+	switch {
+	case err != nil && !outdated:
 		in.rejectState(err, encoded, at, from)
-		return
+		in.states.reject(encoded, at)
+	case err == nil:
+		in.adoptValid(next, encoded, at, from)
+		if outdated {
+			in.noteUnreadable()
+			return
+		}
+		in.rejected.Store(nil)
+		in.states.hold(at)
 	}
-	in.rejected.Store(nil)
+}
+
+// adoptValid is adopt for a valid state.
+func (in *Instance) adoptValid(next *desired.State, encoded []byte, at mirror.Position, from model.InstanceID) {
 	old := in.state.Load()
 	if old != nil && next.Version == old.Version {
 		in.lease.Adopted(old.Version)
@@ -161,9 +216,22 @@
 		r.Name, r.Field = field.Name, field.Field
 	}
 	in.rejected.Store(r)
-	state := in.state.Load()
-	in.lease.SetUnreadable(state == nil || state.KeysRequired && !platform.KeepsKeys(encoded, state))
+	in.setUnreadable(encoded)
 	in.counters.statesRejected.Add(1)
 	in.log.Log(events.StateRejected).Err(err).Str("name", r.Name).Str("field", r.Field).Time("since", r.Since).
 		Uint64("in_force", uint64(in.desiredVersion())).Str("from", origin(from)).EmbedObject(at).Send()
 }
+
+// setUnreadable tells the lease whether a rejected state may have removed keys.
+func (in *Instance) setUnreadable(rejected []byte) {
+	state := in.state.Load()
+	in.lease.SetUnreadable(state == nil || state.KeysRequired && !platform.KeepsKeys(rejected, state))
+}
+
+// noteUnreadable tells the lease again that the newest state is rejected, if it is, after
+// an older one has come into force.
+func (in *Instance) noteUnreadable() {
+	if rejected := in.states.newestRejected(); rejected != nil {
+		in.setUnreadable(rejected)
+	}
+}
--- a/internal/serve/large_state_test.go
+++ b/internal/serve/large_state_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"jujubestile.example/jujubestile/internal/events"
+	"jujubestile.example/jujubestile/internal/fleet"
 	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/model"
 	"jujubestile.example/jujubestile/internal/peer"
@@ -82,17 +83,21 @@
 	for _, from := range instances {
 		p := from.presence()
 		for _, to := range instances {
-			if to == from {
-				continue
-			}
-			to.members.ReceiveFull(p, time.Now())
-			if to.behind(p.Position, p.Desired) {
-				to.requestCatchUp()
+			if to != from {
+				deliver(to, p, time.Now())
 			}
 		}
 	}
 }
 
+// deliver delivers the presence of an instance to another one.
+func deliver(to *Instance, p fleet.Presence, now time.Time) {
+	to.members.ReceiveFull(p, now)
+	if to.behind(p.Position, p.Desired) {
+		to.requestCatchUp()
+	}
+}
+
 // Guards against a leaving endpoint that gets requests, and a desired state that is
 // not in force, more than 3 s after the store accepted them: all instances of a
 // region fetched a state of thousands of routes from the one that watches the
--- a/internal/serve/lease.go
+++ b/internal/serve/lease.go
@@ -6,16 +6,12 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/juju/errors"
-
 	"jujubestile.example/jujubestile/internal/boottime"
 	"jujubestile.example/jujubestile/internal/desired"
 	"jujubestile.example/jujubestile/internal/events"
 	"jujubestile.example/jujubestile/internal/mirror"
 	"jujubestile.example/jujubestile/internal/model"
-	"jujubestile.example/jujubestile/internal/store"
 	"jujubestile.example/jujubestile/internal/tenant"
-	"jujubestile.example/jujubestile/platform"
 )
 
 // The authorization lease of package tenant is renewed by what the store responds to
@@ -76,12 +72,7 @@
 	o.in.lease.Listed(at, started, boottime.Now())
 }
 
-func (o storeObserver) Watched(after, at mirror.Position, changes []mirror.Event, started time.Duration) {
-	for _, c := range changes {
-		if platform.RecordOf(c.Key).Desired && !c.Deleted {
-			o.in.adoptSkipped(c.Value, mirror.Position{Era: at.Era, Revision: c.Revision})
-		}
-	}
+func (o storeObserver) Watched(after, at mirror.Position, started time.Duration) {
 	o.in.lease.Watched(after, at, started)
 }
 
@@ -236,17 +227,14 @@
 		r.failed(origin(""), err)
 		return
 	}
-	value, changed, err := in.store.DesiredState(ctx)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
+	changed, err := in.readDesired(ctx)
+	if err != nil {
 		r.failed(origin(""), err)
 		return
 	}
 	if changed.Era != at.Era {
 		return // The store was restored between the two calls.
 	}
-	if err == nil {
-		in.adoptSkipped(value, changed)
-	}
 	in.lease.Read(at, started, boottime.Now())
 }
 
--- a/internal/serve/listeners.go
+++ b/internal/serve/listeners.go
@@ -284,6 +284,7 @@
 		"message_delay_ms": in.messageDelay(now).Milliseconds(),
 	}
 	in.leaseVars(v)
+	v["missing_state"] = in.missing.vars(in, now)
 	if s := in.state.Load(); s != nil {
 		v["desired_state"], v["desired_routes"] = uint64(s.Version), s.Routes()
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -40,6 +40,7 @@
 	copy    *mirror.Copy
 	packed  packedCopy
 	states  encodedStates
+	missing missingState
 	table   *steering.Table
 	members *fleet.Members
 	socket  *fleet.Socket
@@ -63,15 +64,12 @@
 	started   time.Time
 
 	// applyMu serializes applying the changes of the store's copy. It guards
-	// desiredAt, objectsRestored, missingGraceUntil, outage, restoredEra, decoder, entries,
+	// objectsRestored, missingGraceUntil, outage, restoredEra, decoder, entries,
 	// evacuations and changesConfirmedAt.
 	applyMu sync.Mutex
 	// changesConfirmedAt is the time as of which the copy was known to be complete before
 	// the changes that are being applied.
 	changesConfirmedAt time.Time
-	// desiredAt is the position of the last change of the desired state that was read
-	// from the store.
-	desiredAt mirror.Position
 	// objectsRestored is set once the object record of an earlier process has
 	// been loaded.
 	objectsRestored bool
@@ -128,7 +126,7 @@
 		groupReportedAt: map[model.InstanceID]time.Time{}, entries: newEntryHistory(), evacuations: newEvacuations(),
 		invalidEntries: events.Limiter{PerSecond: invalidEntriesPerSecond}, paceLines: events.Limiter{PerSecond: paceLinesPerSecond}}
 	in.store = platform.NewStore(s.Store.Address.String(), storeTransport())
-	in.copy = mirror.New(in.apply)
+	in.copy = mirror.NewOutOfBand(isDesired, in.apply)
 	in.lease = tenant.NewLease(tenant.LeaseDuration(time.Duration(s.Bounds.Revoke)))
 	in.table = steering.New(steering.Config{Self: s.Instance, Domain: s.Domain, Region: s.Region,
 		Regions: s.Domains, MaxShift: s.Bounds.MaxShift, Pace: s.Pace, Rand: newRand()})
@@ -215,7 +213,7 @@
 func (in *Instance) loops() []func(context.Context) {
 	return []func(context.Context){
 		in.followStore, in.announce, in.sendHeartbeats, in.receive, in.probe, in.maintain, in.catchUp, in.saveRecentObjects,
-		in.keepLease, in.crashes.follow, in.quotas.run,
+		in.repairState, in.keepLease, in.crashes.follow, in.quotas.run,
 	}
 }
 
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -81,8 +81,8 @@
 	for _, c := range b.Events {
 		r := platform.RecordOf(c.Key)
 		switch {
-		case r.Desired && !c.Deleted:
-			in.adoptChange(c.Value, mirror.Position{Era: b.Era, Revision: c.Revision}, b.From)
+		case r.Desired:
+			in.adoptChange(c, b.Era)
 		case r.Evacuated != "":
 			in.applyEvacuation(r.Evacuated, c, b.Restored, now)
 		case r.Endpoint != "":
--- a/internal/serve/states.go
+++ b/internal/serve/states.go
@@ -8,13 +8,19 @@
 	"github.com/klauspost/compress/zstd"
 
 	"jujubestile.example/jujubestile/internal/desired"
+	"jujubestile.example/jujubestile/internal/mirror"
 )
 
 // encodedStates keeps the last desired states as the store encoded them, and packs
 // the newest one for other instances. It is safe for concurrent use.
 type encodedStates struct {
 	mu sync.Mutex
-	// kept has the states in the order of their versions.
+	// heldAt is the position up to which every desired state was considered: the newest
+	// one is in force or was rejected.
+	heldAt mirror.Position
+	// rejected is the state at heldAt if it was rejected, or nil.
+	rejected []byte
+	// kept has the valid states in the order of their versions.
 	kept []keptState
 	// packed has the newest state, packed for instances that have another version.
 	packed map[desired.Version]packedState
@@ -46,6 +52,35 @@
 	packWindow = 2 * maxStateBytes
 )
 
+// held returns the position up to which every desired state was considered.
+func (s *encodedStates) held() mirror.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heldAt
+}
+
+// hold records that every desired state up to a position was considered, and that the
+// last one of them is valid.
+func (s *encodedStates) hold(at mirror.Position) { s.consider(at, nil) }
+
+// reject records that the desired state at a position was rejected.
+func (s *encodedStates) reject(encoded []byte, at mirror.Position) { s.consider(at, encoded) }
+
+func (s *encodedStates) consider(at mirror.Position, rejected []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !at.Before(s.heldAt) {
+		s.heldAt, s.rejected = at, rejected
+	}
+}
+
+// newestRejected returns the newest state if it was rejected, or nil.
+func (s *encodedStates) newestRejected() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejected
+}
+
 // add adds a state that is newer than all others.
 func (s *encodedStates) add(v desired.Version, encoded []byte) {
 	s.mu.Lock()
@@ -57,11 +92,26 @@
 	s.packed = map[desired.Version]packedState{}
 }
 
-// pack returns the newest state, if its version is above have, as the difference to
-// that version if it is known. It returns the zero value if there is no newer state.
-func (s *encodedStates) pack(have desired.Version) (packedState, error) {
+// reply returns what an instance lacks that has a version in force and has considered
+// every state up to a position.
+func (s *encodedStates) reply(have desired.Version, heldAt mirror.Position) (DesiredReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r := DesiredReply{Held: s.heldAt}
+	var err error
+	if r.State, err = s.pack(have); err != nil {
+		return DesiredReply{}, errors.Trace(err)
+	}
+	if s.rejected != nil && heldAt.Before(s.heldAt) {
+		r.Rejected, err = compress(s.rejected, nil)
+	}
+	return r, errors.Trace(err)
+}
+
+// pack returns the newest state, if its version is above have, as the difference to
+// that version if it is known. It returns the zero value if there is no newer state. The
+// lock is held.
+func (s *encodedStates) pack(have desired.Version) (packedState, error) {
 	if len(s.kept) == 0 || s.kept[len(s.kept)-1].version <= have {
 		return packedState{}, nil
 	}
--- a/internal/serve/states_test.go
+++ b/internal/serve/states_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"jujubestile.example/jujubestile/internal/desired"
+	"jujubestile.example/jujubestile/internal/mirror"
 )
 
 // Guards against a state that is unpacked to another one than was packed, and
@@ -29,7 +30,8 @@
 		if n := len(to.kept); n > 0 {
 			have = to.kept[rapid.IntRange(0, n-1).Draw(t, "have")].version
 		}
-		p, err := from.pack(have)
+		r, err := from.reply(have, mirror.Position{})
+		p := r.State
 		if err != nil {
 			t.Fatal(err)
 		}
