serve: read a desired state that was lost with its holders from the store

The others answered 404 for a route that the state added, and sent requests of a moved route to the old service, until the next change of the desired state.

Cause: they had fetched the changes from the lost instance, so their copies were past the state's revision, and not yet the state. Whoever watched the store next went on behind its position; a watch, the comparison of positions and the fetchers, which ask only instances with a newer version, all took the state for present.

--- a/internal/events/catalogue_serve.go
+++ b/internal/events/catalogue_serve.go
@@ -53,6 +53,9 @@
 	DesiredStateFound = Event{825, "missing desired state obtained", zerolog.InfoLevel,
 		"The instance has obtained the desired state of event 824. The field in_force is the version in force, missing_ms the time for which the state was missing.",
 		"None."}
+	DesiredStateNotRead = Event{826, "missing desired state not read", zerolog.InfoLevel,
+		"A missing desired state could not be read from the store. The instance tries again, and goes on asking other instances.",
+		"None while the store is unavailable."}
 	EndpointPaceChanged = Event{830, "slow start of endpoint changed", zerolog.InfoLevel,
 		"An endpoint that has started or recovered gets few requests at first (phase starting), or gets them by cost alone again (phase steady). The field reason says why: added, restarted, cold, recovered, unreachable, ejected or slow; grown at the end.",
 		"None for single endpoints. If one starts again and again, check the endpoint."}
--- a/internal/serve/desired.go
+++ b/internal/serve/desired.go
@@ -133,14 +133,21 @@
 	if err != nil {
 		return mirror.Position{}, errors.Trace(err)
 	}
+	in.takeRead(value, changed, known)
+	return changed, nil
+}
+
+// takeRead puts a desired state that was read from the store in force if it is newer.
+// changed is the position of its last change. The position known was known before the
+// call, so the state is the newest one up to there as well.
+func (in *Instance) takeRead(value []byte, changed, known mirror.Position) {
 	at := changed
 	if at.Before(known) {
-		at = known // The store contains all that was known before the call.
+		at = known
 	}
 	in.applyMu.Lock()
 	defer in.applyMu.Unlock()
 	in.adopt(value, at, "")
-	return changed, nil
 }
 
 // adopt puts an encoded desired state in force if it is newer than the current
--- a/internal/serve/rejected_state_test.go
+++ b/internal/serve/rejected_state_test.go
@@ -30,15 +30,12 @@
 	c.version++
 	c.store.Put("op/config", standin.EncodeDesiredState(c.version, 5, []string{"s"}, []standin.Route{
 		{Name: "films", Host: "h.example", Prefix: "/films/", Type: "stream", Service: "s"}}))
-	// Only the instance that watches the store for the region reads the state.
-	c.eventually("an instance shows the rejected state", func() bool {
-		for _, in := range c.instances {
-			if r, ok := c.metrics(in)["rejected_state"].(map[string]any); ok && r["name"] == "films" && r["field"] == "type" && r["since"] != "" {
-				return true
-			}
-		}
-		return false
-	})
+	for _, in := range c.instances {
+		c.eventually("the instance shows the rejected state", func() bool {
+			r, ok := c.metrics(in)["rejected_state"].(map[string]any)
+			return ok && r["name"] == "films" && r["field"] == "type" && r["since"] != ""
+		})
+	}
 	for _, in := range c.instances {
 		if _, code, _ := c.send(in, "GET", "/safe/x"); code != 200 {
 			t.Errorf("status %d on a route of the state in force", code)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -60,6 +60,8 @@
 	rejected  atomic.Pointer[rejectedState]
 	leaving   atomic.Bool
 	storeLost atomic.Bool
+	// following is set while this instance watches the store for its region.
+	following atomic.Bool
 	lastReady atomic.Bool
 	started   time.Time
 
--- a/internal/serve/sources.go
+++ b/internal/serve/sources.go
@@ -55,7 +55,7 @@
 		{now: make(chan struct{}, 1), fetch: in.fetchChanges, poll: true, empty: func() bool { return !in.copy.Loaded() },
 			ahead: func(o, self fleet.Presence) bool { return self.Position.Before(o.Position) }},
 		{now: make(chan struct{}, 1), fetch: in.fetchDesired, empty: func() bool { return in.state.Load() == nil },
-			ahead: func(o, self fleet.Presence) bool { return self.Desired < o.Desired }},
+			ahead: hasNewerState},
 	}
 }
 
@@ -199,12 +199,25 @@
 	s.at[id] = now
 }
 
+// has reports whether an instance has failed recently.
+func (s *failedSources) has(id model.InstanceID, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recent(id, now)
+}
+
+// recent is has. The lock is held.
+func (s *failedSources) recent(id model.InstanceID, now time.Time) bool {
+	at, ok := s.at[id]
+	return ok && now.Sub(at) <= failedSourceTime
+}
+
 // last moves the instances that have failed recently to the end.
 func (s *failedSources) last(ids []model.InstanceID, now time.Time) []model.InstanceID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	failed := func(id model.InstanceID) int {
-		if at, ok := s.at[id]; ok && now.Sub(at) <= failedSourceTime {
+		if s.recent(id, now) {
 			return 1
 		}
 		return 0
--- a/internal/serve/state.go
+++ b/internal/serve/state.go
@@ -42,7 +42,9 @@
 	f := mirror.Follower{Copy: in.copy, Source: in.store, WatchTimeout: watchTimeout, VerifyInterval: verifyInterval, BatchDelay: watchBatchDelay,
 		RetryMin: storeRetryMin, RetryMax: storeRetryMax,
 		Active: func() bool {
-			return !in.leaving.Load() && in.shouldWatch()
+			on := !in.leaving.Load() && in.shouldWatch()
+			in.following.Store(on)
+			return on
 		},
 		OnUnavailable: func(err error) {
 			in.storeLost.Store(true)
--- a/internal/serve/states.go
+++ b/internal/serve/states.go
@@ -18,8 +18,9 @@
 	// heldAt is the position up to which every desired state was considered: the newest
 	// one is in force or was rejected.
 	heldAt mirror.Position
-	// rejected is the state at heldAt if it was rejected, or nil.
-	rejected []byte
+	// rejected is the state at heldAt if it was rejected, or nil, and rejectedPacked its
+	// compressed form once it was needed.
+	rejected, rejectedPacked []byte
 	// kept has the valid states in the order of their versions.
 	kept []keptState
 	// packed has the newest state, packed for instances that have another version.
@@ -70,7 +71,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !at.Before(s.heldAt) {
-		s.heldAt, s.rejected = at, rejected
+		s.heldAt, s.rejected, s.rejectedPacked = at, rejected, nil
 	}
 }
 
@@ -102,9 +103,13 @@
 	if r.State, err = s.pack(have); err != nil {
 		return DesiredReply{}, errors.Trace(err)
 	}
-	if s.rejected != nil && heldAt.Before(s.heldAt) {
-		r.Rejected, err = compress(s.rejected, nil)
+	if s.rejected == nil || !heldAt.Before(s.heldAt) {
+		return r, nil
 	}
+	if s.rejectedPacked == nil {
+		s.rejectedPacked, err = compress(s.rejected, nil)
+	}
+	r.Rejected = s.rejectedPacked
 	return r, errors.Trace(err)
 }
 
