serve: bound the reads of missing desired states of all instances together

Instances that do not watch the store spread their first read of a missing desired state over 10 ms an instance, but paused 8 s at most between the next ones: 612 reads/s at 4,900 instances in an outage of the store (worked out). The pause is now at least 10 ms an instance as well, so that all of them together read at most 100 times a second.

--- a/internal/serve/missing_state.go
+++ b/internal/serve/missing_state.go
@@ -38,8 +38,8 @@
 	// become known stay below the 2.5 s in which a state has to be in force.
 	readWait        = 400 * time.Millisecond
 	sourcedReadWait = 1200 * time.Millisecond
-	// readSpacing is the mean time between the reads of two instances that do not watch
-	// the store and lack the same state.
+	// readSpacing is the shortest mean time between the reads of two instances that do not
+	// watch the store and lack the same state.
 	readSpacing = 10 * time.Millisecond
 	// readPauseMin and readPauseMax bound the mean pause after a read. It doubles with each
 	// one, but for instances that watch the store.
@@ -138,7 +138,7 @@
 func (r *stateRepair) step(ctx context.Context, stalled time.Duration, now time.Time) {
 	in := r.in
 	if r.delay == 0 {
-		r.delay = rand.N(time.Duration(in.instanceCount()) * readSpacing)
+		r.delay = rand.N(in.readSpread())
 	}
 	sourced := in.hasStateSource(now)
 	if !sourced && stalled >= askWait && !now.Before(r.nextAsk) {
@@ -169,12 +169,18 @@
 	if _, err := in.readDesired(ctx); err != nil {
 		in.log.Log(events.DesiredStateNotRead).Err(err).Send()
 	}
-	if r.pause = min(2*r.pause, readPauseMax); r.pause < readPauseMin || in.following.Load() {
+	r.pause = max(readPauseMin, min(2*r.pause, readPauseMax), in.readSpread())
+	if in.following.Load() {
 		r.pause = readPauseMin
 	}
 	r.nextRead = time.Now().Add(time.Duration((0.5 + rand.Float64()) * float64(r.pause)))
 }
 
+// readSpread is the time over which all instances are to read the store once.
+func (in *Instance) readSpread() time.Duration {
+	return time.Duration(in.instanceCount()) * readSpacing
+}
+
 // hasStateSource reports whether the fetcher of desired states can get a newer one from
 // another instance.
 func (in *Instance) hasStateSource(now time.Time) bool {
