serve: write the record of an instance again that no copy has shown

The review traced it: an instance that does not watch the store writes its record, which is deleted before its first fetch from another instance. The fetch returns a whole copy. The record is in neither copy, so no change shows the deletion, and the instance renews its lease and stays unlisted.

The instance now compares: if its copy is known to have held every change at a time after the write of the record and lacks the record, it writes it again (checkListed). It does not matter how the copy got there, and a copy that is older than the write proves nothing.

TestRecordThatNoCopyHasShownIsWrittenAgain brings the order about.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -241,6 +241,15 @@
 	return c.at != Position{}
 }
 
+// ConfirmedWithout reports whether the copy is known to have held every change of the source
+// at some time after the given one, and lacks a key.
+func (c *Copy) ConfirmedWithout(key string, after time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.items[key]
+	return !ok && c.confirmedAt.After(after)
+}
+
 // Snapshot returns all items and the position.
 func (c *Copy) Snapshot() ([]Item, Position) {
 	c.mu.Lock()
--- a/internal/serve/announce.go
+++ b/internal/serve/announce.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// checkListed makes announce write the instance's record again if the copy of the store is
+// more recent than the last write and lacks the record. A copy that is fetched whole does
+// not show that the record was deleted if it was neither in the copy before.
+func (in *Instance) checkListed() {
+	written := in.recordWritten.Load()
+	if written != nil && in.copy.ConfirmedWithout(platform.InstanceKey(in.settings.Instance), *written) {
+		in.recordWritten.CompareAndSwap(written, nil)
+		in.recordDeleted()
+	}
+}
+
 // errLeaseLost means that the store was restored after a lease was granted.
 const errLeaseLost = errors.ConstError("the store has lost the lease in a restore")
 
@@ -119,7 +130,12 @@
 	if errors.Is(err, platform.ErrLeaseExpired) || errors.Is(err, errLeaseLost) {
 		return listing{}, errors.Trace(err)
 	}
-	return listing{lease: lease, written: err == nil}, errors.Trace(err)
+	if err != nil {
+		return listing{lease: lease}, errors.Trace(err)
+	}
+	now := time.Now()
+	in.recordWritten.Store(&now)
+	return listing{lease: lease, written: true}, nil
 }
 
 // storeEra returns the era of the copy of the store.
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -189,8 +189,8 @@
 
 // maintain runs the periodic tasks: it marks instances as silent, drops group
 // loads and unconfirmed crashes that are too old, removes endpoints whose entries
-// have stayed missing, applies what was deferred after a restore of the store, and
-// closes idle connections.
+// have stayed missing, applies what was deferred after a restore of the store, checks that
+// the instance is listed, and closes idle connections.
 func (in *Instance) maintain(ctx context.Context) {
 	in.updateInstances()
 	ticker := time.NewTicker(maintenanceInterval)
@@ -208,6 +208,7 @@
 		in.expireGroups(now)
 		in.crashes.expire(now)
 		in.settleRestore(now)
+		in.checkListed()
 		if now.Sub(in.started) < startupWindow {
 			in.setInitialRemoteShare()
 		}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -92,6 +92,9 @@
 	delisted chan struct{}
 	// announced is set once the store lists the instance.
 	announced atomic.Bool
+	// recordWritten is when the instance's record was last written, or nil if it is to be
+	// written again.
+	recordWritten atomic.Pointer[time.Time]
 	// heartbeatNow makes the heartbeat loop send at its next tick.
 	heartbeatNow atomic.Bool
 	// rateLimitsChanged makes the heartbeat loop send the rate limits of endpoints.
