mirror: bound the log of changes in bytes

It was still bounded in number only, and records of other writers can have 1 MB each. It now drops its oldest changes beyond 4 MB as well: 512 entries of the largest size that instances send to each other.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -94,9 +94,14 @@
 	outOfBandAt Position
 }
 
-// maxLogLength bounds the log of changes that other instances fetch. It covers
-// some seconds of peak load.
-const maxLogLength = 512
+const (
+	// maxLogLength bounds the log of changes that other instances fetch. It covers
+	// some seconds of peak load.
+	maxLogLength = 512
+	// maxLogBytes bounds the keys and values in the log. It holds the largest entries that
+	// instances send to each other, 8 KB, in full length.
+	maxLogBytes = maxLogLength * 8 << 10
+)
 
 // New returns an empty copy. notify is called with the changes in order. It may
 // read the copy but not change it.
@@ -372,7 +377,15 @@
 // lock is held.
 func (c *Copy) appendLog(events []Event) {
 	c.log = append(c.log, events...)
-	if over := len(c.log) - maxLogLength; over > 0 {
+	keep, size := 0, 0
+	for keep < min(len(c.log), maxLogLength) {
+		e := c.log[len(c.log)-1-keep]
+		if size += len(e.Key) + len(e.Value); size > maxLogBytes {
+			break
+		}
+		keep++
+	}
+	if over := len(c.log) - keep; over > 0 {
 		for _, e := range c.log[:over] {
 			c.logFrom = max(c.logFrom, e.Revision)
 		}
