--- a/internal/serve/desired.go
+++ b/internal/serve/desired.go
@@ -17,8 +17,8 @@
 // The desired state can be a thousand times larger than any other change. Instances
 // therefore fetch it apart from the changes of the store, so that these do not wait
 // for it, and as the difference to the one that they have.
-
-// The position of a copy of the store therefore covers desired states that the instance
+//
+// The position of a copy of the store can thus cover desired states that the instance
 // has not got yet. What the copy knows of their last change (mirror.Copy.OutOfBandAt) and
 // the position up to which this instance has considered them (encodedStates.held) are kept
 // apart: as long as the former is later, a desired state is missing, see missing_state.go.
@@ -48,7 +48,8 @@
 }
 
 // fetchDesired fetches a newer desired state from another instance. It reports
-// whether there was one.
+// whether there was one, or whether the other instance has shown that the one in force is
+// the newest up to a later position.
 func (in *Instance) fetchDesired(ctx context.Context, from model.InstanceID) bool {
 	started := time.Now()
 	have, held := in.desiredVersion(), in.states.held()
@@ -155,23 +156,25 @@
 // applyMu is held.
 func (in *Instance) adopt(encoded []byte, at mirror.Position, from model.InstanceID) {
 	next, err := in.decoder.Decode(encoded)
-	outdated := at.Before(in.states.held())
+	outdated := at != mirror.Position{} && at.Before(in.states.held())
 	switch {
-	case err != nil && !outdated:
+	case err != nil && outdated:
+		in.log.Log(events.OlderStateIgnored).Err(err).Uint64("in_force", uint64(in.desiredVersion())).
+			Str("from", origin(from)).EmbedObject(at).Send()
+	case err != nil:
 		in.rejectState(err, encoded, at, from)
 		in.states.reject(encoded, at)
-	case err == nil:
+	case outdated:
+		in.adoptValid(next, encoded, at, from)
+		in.noteUnreadable()
+	default:
 		in.adoptValid(next, encoded, at, from)
-		if outdated {
-			in.noteUnreadable()
-			return
-		}
 		in.rejected.Store(nil)
 		in.states.hold(at)
 	}
 }
 
-// adoptValid is adopt for a valid state.
+// adoptValid is adopt for a valid state, without a record of what was considered.
 func (in *Instance) adoptValid(next *desired.State, encoded []byte, at mirror.Position, from model.InstanceID) {
 	old := in.state.Load()
 	if old != nil && next.Version == old.Version {
