exchange: small window from the start in tests of abandoned requests

Traced to the test: it sets the small receive buffer after the connection is accepted. If that is late, the peer's kernel has taken the whole request before it is given up, as with any endpoint that has received it.

The buffer is now set on the listening socket, from which connections inherit it, in both tests that need it; what they check is unchanged.

--- a/internal/exchange/abandoned_test.go
+++ b/internal/exchange/abandoned_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,21 +16,32 @@
 	"jujubestile.example/jujubestile/platform"
 )
 
+// listenWithSmallWindow listens on a free port. The connections that it accepts take few
+// bytes until they are read: the size of the buffer is set before a caller can connect,
+// since one that is set on an accepted connection may come after the bytes.
+func listenWithSmallWindow(t *testing.T) net.Listener {
+	t.Helper()
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	return ln
+}
+
 const errCallerLeft = errors.ConstError("the caller has left")
 
 // Guards against a request that reaches its endpoint after its caller has left, because
 // its bytes were held up on the way: by a small window here, by a partition elsewhere.
 func TestAbandonedRequestDoesNotArriveLater(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
+	ln := listenWithSmallWindow(t)
 	accepted := make(chan net.Conn, 1)
 	go func() {
 		c, err := ln.Accept()
 		if err == nil {
-			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
 			accepted <- c
 		}
 	}()
@@ -53,16 +65,11 @@
 // Guards against a request that reaches its endpoint after its exchange has failed, when
 // it may have been sent to another endpoint.
 func TestFailedRequestDoesNotArriveLater(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
+	ln := listenWithSmallWindow(t)
 	accepted := make(chan net.Conn, 1)
 	go func() {
 		c, err := ln.Accept()
 		if err == nil {
-			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
 			time.Sleep(100 * time.Millisecond)
 			_, _ = io.WriteString(c, "this is no response\r\n")
 			accepted <- c
