--- a/internal/serve/missing_state.go
+++ b/internal/serve/missing_state.go
@@ -34,8 +34,8 @@
 	askTimeout  = 400 * time.Millisecond
 	// readWait is how long a state is missing until it is read from the store.
 	// sourcedReadWait replaces it while it can be fetched from another instance, which
-	// takes longer over a slow link. Both together with the time that a change takes to
-	// become known stay below the 2.5 s in which a state has to be in force.
+	// takes longer over a slow link. After either there is time left to read a state
+	// within the 2.5 s in which it has to be in force.
 	readWait        = 400 * time.Millisecond
 	sourcedReadWait = 1200 * time.Millisecond
 	// readSpacing is the shortest mean time between the reads of two instances that do not
