serve: pass on a rejected desired state after its position is heard again

An instance that had rejected a desired state, and asked another one that had rejected it too while it looked for a later one, forgot the rejected state: it then told others the position and not that the state there is invalid. Only a later position replaces what is recorded now.

TestRejectedStateIsPassedOnAfterItsPositionIsHeardAgain fails without the change (0 bytes rejected).

--- a/internal/serve/states.go
+++ b/internal/serve/states.go
@@ -61,7 +61,7 @@
 }
 
 // hold records that every desired state up to a position was considered, and that the
-// last one of them is valid.
+// last one of them is valid if it is later than the one that was considered last.
 func (s *encodedStates) hold(at mirror.Position) { s.consider(at, nil) }
 
 // reject records that the desired state at a position was rejected.
@@ -70,7 +70,7 @@
 func (s *encodedStates) consider(at mirror.Position, rejected []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !at.Before(s.heldAt) {
+	if s.heldAt.Before(at) {
 		s.heldAt, s.rejected, s.rejectedPacked = at, rejected, nil
 	}
 }
--- a/internal/serve/states_test.go
+++ b/internal/serve/states_test.go
@@ -73,3 +73,20 @@
 		}
 	}
 }
+
+// Guards against a rejected state that is passed on no more, because another instance that
+// has rejected it too was asked and named the same position.
+func TestRejectedStateIsPassedOnAfterItsPositionIsHeardAgain(t *testing.T) {
+	var s encodedStates
+	at := mirror.Position{Era: 1, Revision: 7}
+	s.reject([]byte("invalid"), at)
+	s.hold(at)
+	r, err := s.reply(0, mirror.Position{Era: 1, Revision: 6})
+	if err != nil || r.Held != at || len(r.Rejected) == 0 {
+		t.Errorf("held %+v, %d bytes rejected, %v", r.Held, len(r.Rejected), err)
+	}
+	s.hold(mirror.Position{Era: 1, Revision: 8})
+	if r, err := s.reply(0, at); err != nil || len(r.Rejected) > 0 {
+		t.Errorf("%d bytes rejected after a later state, %v", len(r.Rejected), err)
+	}
+}
