--- a/internal/serve/lost_state_test.go
+++ b/internal/serve/lost_state_test.go
@@ -339,7 +339,7 @@
 	f := newWatchedFleet(t, "a")
 	h := f.holders[0]
 	h.state.given.Store(true)
-	reads := f.store.Calls("kv-key")
+	reads := f.store.Reads()
 	f.writeState(1)
 	at := f.follow(h)
 	f.await("no state is missing", time.Now().Add(configApply), func(in *Instance) bool {
@@ -347,7 +347,7 @@
 		own, _ := in.copy.Position(time.Now())
 		return !missing && !own.Before(at)
 	})
-	if n := f.store.Calls("kv-key") - reads; n > 0 {
+	if n := f.store.Reads() - reads; n > 0 {
 		t.Errorf("the state was read %d times from the store", n)
 	}
 }
