--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -112,8 +112,9 @@
 // NewOutOfBand returns an empty copy that does not hold the values of some keys: these are
 // large, and instances send them to each other out of band, apart from other changes.
 // notify gets the changes of such keys that the source returns to this process, also those
-// that the copy has passed already. Of all others the copy records the position
-// (OutOfBandAt), so that whoever advances past a change knows that it exists.
+// that the copy has passed already. Of changes that other processes know of, only the
+// position of the last one is recorded (OutOfBandAt), so that whoever advances past a
+// change knows that it exists.
 func NewOutOfBand(outOfBand func(key string) bool, notify func(Batch)) *Copy {
 	return &Copy{items: map[string]Item{}, notify: notify, outOfBand: outOfBand}
 }
@@ -411,8 +412,8 @@
 }
 
 // Apply applies changes in order and advances the copy to the position at.
-// Changes that the copy already contains are skipped, unless their keys are out of band. It reports false, without
-// effect, if the changes are of another era than the copy.
+// Changes that the copy already contains are skipped, unless their keys are out of band.
+// It reports false, without effect, if the changes are of another era than the copy.
 func (c *Copy) Apply(from model.InstanceID, events []Event, at Position) bool {
 	c.order.Lock()
 	defer c.order.Unlock()
